--- a/nickelcroft/choice.py
+++ b/mintvalve/choice.py
@@ -1,4 +1,4 @@
-"""The decisions of nickelcroft. Types, events and actions: nickelcroft/interface.py.
+"""The decisions of mintvalve. Types, events and actions: mintvalve/interface.py.
 
 The mechanism is Langlois's call gapping (docs/design.md): first set-ups towards a pressed processor or an
 overflowing number keep a gap T, retuned each cycle. Routing is direct first, then the advised tandem, else
@@ -14,7 +14,7 @@
 from random import Random
 from typing import Any
 
-from nickelcroft.interface import (
+from mintvalve.interface import (
     Action, AttemptEnded, CallClass, CallerGone, CallOffered, CallStands, Cancel, Clearing, Event, Exchange,
     Fail, ListKind, ListNews, Log, Outcome, PeerHeard, Probe, Refuse, Repeat, Report, ReportHeard, SetTimer,
     Settings, SetUp, Started, State, Subscribe, Tell, TimerRang,
--- a/nickelcroft/drill.py
+++ b/mintvalve/drill.py
@@ -1,4 +1,4 @@
-"""Wire adapter: `python -m nickelcroft.drill` speaks the bench's wire on standard input and output.
+"""Wire adapter: `python -m mintvalve.drill` speaks the bench's wire on standard input and output.
 
 It parses, translates, hosts the instances, prints and flushes. It decides nothing.
 """
@@ -8,8 +8,8 @@
 import sys
 from typing import TextIO
 
-from nickelcroft import interface as io
-from nickelcroft.choice import Controller
+from mintvalve import interface as io
+from mintvalve.choice import Controller
 
 Pairs = dict[str, str]
 
@@ -346,7 +346,7 @@
     try:
         run(sys.stdin, sys.stdout)
     except WireError as fault:
-        print(f"nickelcroft.drill: {fault}", file=sys.stderr)
+        print(f"mintvalve.drill: {fault}", file=sys.stderr)
         return 2
     return 0
 
--- a/nickelcroft/interface.py
+++ b/mintvalve/interface.py
@@ -1,6 +1,6 @@
 """What a host and a call controller say to each other: settings, events, actions, outcomes.
 
-The host (a signalling proxy) owns one `nickelcroft.choice.Controller` per proxy. It hands in one event
+The host (a signalling proxy) owns one `mintvalve.choice.Controller` per proxy. It hands in one event
 at a time with the clock, and carries out the returned actions in order.
 
 Who owes what to whom:
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from nickelcroft.drill import WireError, report_from, run, settings_from
+from mintvalve.drill import WireError, report_from, run, settings_from
 
 SETTINGS = (
     "Balancers=3 Limits.SendCap=6 Limits.Probes=false Me=0 Specifics.HomeNo=0 Specifics.ClearWaitMs=300.0 "
@@ -84,7 +84,7 @@
 
 def adapter(text: str, seed: str) -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "nickelcroft.drill"], input=text, capture_output=True, text=True, check=False,
+        [sys.executable, "-m", "mintvalve.drill"], input=text, capture_output=True, text=True, check=False,
         env={**os.environ, "PYTHONHASHSEED": seed},
     )
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -2,8 +2,8 @@
 
 from dataclasses import replace
 
-from nickelcroft import choice
-from nickelcroft.interface import CallStands, Clearing, ListKind, Outcome, Refuse, Report, SetUp, TimerRang
+from mintvalve import choice
+from mintvalve.interface import CallStands, Clearing, ListKind, Outcome, Refuse, Report, SetUp, TimerRang
 from tests.world import SETTINGS, World, sends
 
 
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from nickelcroft import choice
-from nickelcroft.choice import Gap
+from mintvalve import choice
+from mintvalve.choice import Gap
 
 
 def engaged(t0: float = 100.0) -> Gap:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from nickelcroft.choice import Call, Controller, Far
-from nickelcroft.interface import CallOffered, State
+from mintvalve.choice import Call, Controller, Far
+from mintvalve.interface import CallOffered, State
 from tests.world import PLAIN, SETTINGS, World
 
 
@@ -65,7 +65,7 @@
 def test_misuse_raises() -> None:
     from dataclasses import replace
 
-    from nickelcroft.interface import Started, TimerRang
+    from mintvalve.interface import Started, TimerRang
 
     wrongs = ({"proxies": 0}, {"classes": ()}, {"cold_ms": -1.0}, {"max_attempts": 0}, {"step_ms": 0.0})
     for wrong in wrongs:
--- a/tests/test_property.py
+++ b/tests/test_property.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from nickelcroft import choice
-from nickelcroft.interface import (
+from mintvalve import choice
+from mintvalve.interface import (
     Action,
     AttemptEnded,
     CallerGone,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from nickelcroft.interface import (
+from mintvalve.interface import (
     AttemptEnded, CallerGone, Fail, ListKind, Outcome, Refuse, Repeat, SetUp, State, TimerRang,
 )
 from tests.world import PLAIN, SETTINGS, World, sends
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from nickelcroft import choice
-from nickelcroft.choice import Controller
-from nickelcroft.interface import (
+from mintvalve import choice
+from mintvalve.choice import Controller
+from mintvalve.interface import (
     CallOffered, CallStands, Cancel, Clearing, Event, Exchange, ListKind, ListNews, Outcome, PeerHeard, Probe,
     Refuse, Report, ReportHeard, Started, State, Tell, TimerRang,
 )
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,9 +4,9 @@
 
 from dataclasses import replace
 
-from nickelcroft import choice
-from nickelcroft.choice import Controller
-from nickelcroft.interface import (
+from mintvalve import choice
+from mintvalve.choice import Controller
+from mintvalve.interface import (
     Action,
     AttemptEnded,
     CallClass,
