Serve calls on sockets: binary front, exchange links, name server, facade, phases

The whole path, split by concern: core/ owns calls and rules, net/ the sockets and wires, facade.py alone sees the module's events and actions.

--- /dev/null
+++ b/mintvalve/core/rules.py
@@ -0,0 +1,43 @@
+"""The rules that bind every set-up, whatever the desk decided: the last look before one leaves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from mintvalve.core.calls import Call, CallState
+from mintvalve.interface import Exchange, Outcome, Settings, State
+
+SLACK_MS = 50.0  # ms; on sockets every time limit is that much longer
+MARGIN_MS = 15.0  # ms; a call is answered so long before its caller gives up: the way back takes time, too
+MUST_WAIT = frozenset({Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED})
+
+
+@dataclass(frozen=True, slots=True)
+class Rules:
+    """The figures of the rules, and the checks."""
+
+    home: int
+    max_attempts: int
+    release_wait_ms: float
+
+    @classmethod
+    def of(cls, settings: Settings) -> Rules:
+        return cls(settings.home, settings.max_attempts, settings.release_wait_ms)
+
+    def broken_by(self, call: Call, exchange: Exchange | None, now: float) -> str:
+        """The rule that a set-up of this call to this exchange would break; empty where none."""
+        if call.state is not CallState.HELD or call.attempt is not None:
+            return f"the call is {call.state.value}"
+        if call.attempts >= self.max_attempts:
+            return "the call has had all its attempts"
+        if now < call.not_before:
+            return "what the last attempt held may still be taken"
+        if now >= call.deadline:
+            return "the caller has given up"
+        if exchange is None or exchange.state is not State.READY:
+            return "the exchange drains or is gone"
+        if exchange.cell == self.home:
+            return "a call never goes to the own exchange"
+        if call.request.in_transit and exchange.cell != call.request.destination:
+            return "a call in transit goes to its destination only"
+        return ""
--- a/mintvalve/drill.py
+++ b/mintvalve/drill.py
@@ -10,8 +10,7 @@
 
 from mintvalve import interface as io
 from mintvalve.choice import Controller
-
-Pairs = dict[str, str]
+from mintvalve.settings import number, report_from, settings_from, whole
 
 STATES = {0: io.State.GONE, 1: io.State.READY, 2: io.State.DRAINING}
 LIST_KINDS = {0: io.ListKind.CHANGES, 1: io.ListKind.FULL, 2: io.ListKind.CACHED, 3: io.ListKind.FAILED}
@@ -25,21 +24,6 @@
     6: io.Outcome.CANCELLED,
     7: io.Outcome.NOT_SENT,
 }
-REPEATS = {
-    "idempotent": io.Repeat.ALWAYS,
-    "deduplicated": io.Repeat.WITHIN_GROUP,
-    "at_most_once": io.Repeat.NEVER_AFTER_RUN,
-}
-REPORT_NAMES = {
-    "idle": "free",
-    "circuits": "circuits",
-    "active": "active",
-    "waiting": "waiting",
-    "cpu": "utilisation",
-    "avg_ms": "wait_ms",
-    "max_rate": "capacity",
-    "reduce": "hold_back",
-}
 WAIT_SHIFT = 16  # ClearCode carries a wait in milliseconds above its lowest four bits
 BIT_REDIAL, BIT_TRANSIT, BIT_CUT = 2, 8, 16
 
@@ -48,120 +32,6 @@
     """A message that does not parse."""
 
 
-def number(text: str) -> float:
-    """A number, 0 where absent."""
-    value = 0.0 if text in ("-", "") else float(text)
-    if value != value or value in (float("inf"), float("-inf")):
-        raise ValueError(f"not a finite number: {text}")
-    return value
-
-
-def whole(text: str) -> int:
-    """A whole number, 0 where absent."""
-    return 0 if text in ("-", "") else int(text)
-
-
-def items(text: str) -> list[str]:
-    """A list of plain values."""
-    return [part for part in text.split(",") if part] if text else []
-
-
-def nth(values: list[str], index: int, default: str) -> str:
-    """The value at a place, or a default."""
-    return values[index] if index < len(values) else default
-
-
-def settings_from(text: str) -> io.Settings:
-    """The `Settings` pairs of `UP` as the library's settings; keys not known are skipped."""
-    pairs: Pairs = {}
-    for part in text.split(" "):
-        path, sign, value = part.partition("=")
-        if sign:
-            pairs[path] = value
-    get = pairs.get
-    needed = [key for key in ("Balancers", "Services.count") if key not in pairs]
-    if needed:
-        raise ValueError(f"settings lack {', '.join(needed)}")
-    widths = items(get("Specifics.CircuitsByClass", ""))
-    lengths = items(get("Specifics.HoldingMs", ""))
-    class_pools = pool_lists(pairs)
-    classes = []
-    for index in range(whole(pairs["Services.count"])):
-        head = f"Services.{index}."
-        deadline = number(get(head + "HardLimitMs", "0"))
-        classes.append(
-            io.CallClass(
-                name=get(head + "Name", str(index)),
-                aim_ms=number(get(head + "GoalTimeMs", "0")) or deadline,
-                deadline_ms=deadline,
-                worth=number(get(head + "Worth", "1")),
-                late_worth=number(get(head + "LateValue", "0")),
-                width=int(number(nth(widths, index, "1"))),
-                holding_ms=number(nth(lengths, index, "10000")),
-                repeat=REPEATS.get(get(head + "Effect", "idempotent"), io.Repeat.NEVER_AFTER_RUN),
-                repeat_group=get(head + "Group", "all"),
-                repeat_window_ms=number(get(head + "WindowMs", "0")),
-                pools=class_pools.get(index, ()),
-            )
-        )
-    return io.Settings(
-        proxies=whole(pairs["Balancers"]),
-        home=whole(get("Specifics.HomeNo", "-1")),
-        classes=tuple(classes),
-        me=whole(get("Me", "0")),
-        zone=get("Zone", ""),
-        pools=get("Specifics.Topology", "network") == "skills",
-        subscribe=get("Discovery", "automatic") == "subscribe",
-        max_attempts=whole(get("Limits.SendCap", "1")),
-        may_probe=get("Limits.Probes") == "true",
-        may_cancel=get("Limits.Cancelling") == "true",
-        may_tell=get("Limits.Peers") == "true",
-        tells_wait=get("Specifics.RetryHint") == "true",
-        advice=get("Specifics.Advice") == "true",
-        report_fields=tuple(REPORT_NAMES.get(name, name) for name in items(get("Telemetry.Fields", ""))),
-        reports_in_answers=get("Telemetry.Via") == "inline",
-        release_wait_ms=number(get("Specifics.ClearWaitMs", "0")),
-        drain_grace_ms=number(get("Safety.DrainGraceMs", "0")),
-        answer_slack_ms=number(get("Safety.AnswerSlackMs", "0")),
-        cold_capacity=number(get("Safety.StartCapacity", "1")),
-        cold_ms=number(get("Safety.ColdMs", "0")),
-        fall_multiple=number(get("Safety.FallMultiple", "1")),
-        fall_ms=number(get("Safety.TipAfterMs", "0")),
-        resend_ms=number(get("Specifics.T1Ms", "0")),
-        step_ms=number(get("StepMs", "1")),
-        probe_price=number(get("Prices.Probe", "0")),
-    )
-
-
-def pool_lists(pairs: Pairs) -> dict[int, tuple[int, ...]]:
-    """`Specifics.ClassCells` as pools per class, whether it comes as nested lists or as one plain list."""
-    found: dict[int, tuple[int, ...]] = {}
-    head = "Specifics.ClassCells"
-    for key, value in pairs.items():
-        parts = key[len(head) + 1 :].split(".") if key.startswith(head + ".") else []
-        if len(parts) == 1 and parts[0].isdigit():
-            found[int(parts[0])] = tuple(int(number(part)) for part in items(value))
-    return found
-
-
-def report_from(text: str) -> io.Report:
-    """A load report; absent and negative figures are None, names not known are skipped."""
-    figures: dict[str, float] = {}
-    for part in [] if text == "-" else text.split(","):
-        name, sign, value = part.partition(":")
-        known = REPORT_NAMES.get(name)
-        if not sign:
-            raise ValueError(f"load report part without a value: {part}")
-        if known and value != "-" and number(value) >= 0:
-            figures[known] = number(value)
-    free, circuits = figures.pop("free", None), figures.pop("circuits", None)
-    return io.Report(
-        free=None if free is None else int(free),
-        circuits=None if circuits is None else int(circuits),
-        **figures,
-    )
-
-
 def entry_from(parts: list[str]) -> io.Exchange:
     """One `ROW` of a list."""
     born = parts[7] if len(parts) > 7 else "-"
--- /dev/null
+++ b/mintvalve/lifecycle.py
@@ -0,0 +1,139 @@
+"""The program's phases, from start to exit: the named states of one object."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import socket
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol
+
+from mintvalve.core.switchboard import Switchboard
+from mintvalve.net.loop import READ, Loop
+
+log = logging.getLogger("mintvalve.lifecycle")
+
+JOIN_MS = 600.0  # ms; so long the exchanges may take to tell their groups before callers are let in
+LOOK_MS = 10.0  # ms between looks at that
+GRACE_MS = 750.0  # ms after SIGTERM; callers may still come so long
+LAST_MS = 3400.0  # ms after SIGTERM; what is owed an answer gets it now
+EXIT_MS = 3550.0  # ms after SIGTERM; the kill may come from 3,700 ms on
+
+
+class Phase(Enum):
+    """Where the program is."""
+
+    STARTING = "starting"  # reads its configuration and builds its parts
+    JOINING = "joining"  # dials the exchanges and hears of its trunk groups
+    SERVING = "serving"
+    DRAINING = "draining"  # told to end: still accepts and answers
+    LINGERING = "lingering"  # accepts no connections; answers, and passes releases on
+    CLOSING = "closing"  # whatever is owed an answer gets it
+    ENDED = "ended"
+
+
+NEXT = {
+    Phase.STARTING: {Phase.JOINING},
+    Phase.JOINING: {Phase.SERVING, Phase.DRAINING},
+    Phase.SERVING: {Phase.DRAINING},
+    Phase.DRAINING: {Phase.LINGERING},
+    Phase.LINGERING: {Phase.CLOSING},
+    Phase.CLOSING: {Phase.ENDED},
+    Phase.ENDED: set(),
+}
+
+
+class Front(Protocol):
+    """What the lifecycle needs of a front."""
+
+    def close(self) -> None: ...
+
+
+class Lifecycle:
+    """Moves from phase to phase, and owns what begins and ends with them."""
+
+    def __init__(
+        self, loop: Loop, switchboard: Switchboard, joined: Callable[[], bool],
+        open_fronts: Callable[[], list[Front]],
+    ) -> None:
+        self.loop, self.switchboard = loop, switchboard
+        self.joined, self.open_fronts = joined, open_fronts
+        self.phase = Phase.STARTING
+        self.fronts: list[Front] = []
+        self.join_until = 0.0
+
+    def enter(self, phase: Phase) -> None:
+        if phase not in NEXT[self.phase]:
+            raise RuntimeError(f"no way from {self.phase.value} to {phase.value}")
+        self.phase = phase
+        log.info("phase", extra={"phase": phase.value, "open": self.switchboard.open})
+
+    def run(self) -> None:
+        """From start to exit."""
+        self.catch(signal.SIGTERM, signal.SIGINT)
+        self.enter(Phase.JOINING)
+        self.join_until = self.loop.now() + JOIN_MS
+        self.join()
+        self.loop.run()
+
+    def catch(self, *signals: int) -> None:
+        """Signals wake the loop through a socket and are served in its turn."""
+        reader, writer = socket.socketpair()
+        for end in (reader, writer):
+            end.setblocking(False)
+        for number in signals:
+            signal.signal(number, lambda *_: None)
+        signal.set_wakeup_fd(writer.fileno(), warn_on_full_buffer=False)
+
+        def ready(_: int, kept: socket.socket = writer) -> None:
+            reader.recv(64)
+            self.drain()
+
+        self.loop.watch(reader, READ, ready)
+
+    def join(self) -> None:
+        if self.phase is not Phase.JOINING:
+            return
+        if self.joined() or self.loop.now() >= self.join_until:
+            self.serve()
+        else:
+            self.loop.after(LOOK_MS, self.join)
+
+    def serve(self) -> None:
+        self.fronts = self.open_fronts()
+        self.enter(Phase.SERVING)
+
+    def drain(self) -> None:
+        """Told to end."""
+        if self.phase is Phase.JOINING or self.phase is Phase.SERVING:
+            self.enter(Phase.DRAINING)
+            self.loop.after(GRACE_MS, self.linger)
+            self.loop.after(LAST_MS, self.close)
+            self.loop.after(EXIT_MS, self.end)
+
+    def linger(self) -> None:
+        self.enter(Phase.LINGERING)
+        for front in self.fronts:
+            front.close()
+        self.end_if_idle()
+
+    def end_if_idle(self) -> None:
+        """Nothing is owed and nothing stands any more: no need to wait."""
+        if self.phase is Phase.LINGERING:
+            if not self.switchboard.calls:
+                self.close()
+                self.loop.after(LOOK_MS, self.end)
+            else:
+                self.loop.after(LOOK_MS, self.end_if_idle)
+
+    def close(self) -> None:
+        if self.phase is Phase.LINGERING:
+            self.enter(Phase.CLOSING)
+            self.switchboard.turn_all_away()
+
+    def end(self) -> None:
+        if self.phase is Phase.CLOSING:
+            log.info("counts", extra=dict(self.switchboard.counts))
+            self.enter(Phase.ENDED)
+            self.loop.stop()
--- /dev/null
+++ b/mintvalve/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, wires and the loop that turns them."""
--- /dev/null
+++ b/mintvalve/net/binary_front.py
@@ -0,0 +1,172 @@
+"""The platform's binary protocol towards callers: thin, the switchboard does the work."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from mintvalve.core.calls import Call, CallState, Request
+from mintvalve.core.switchboard import Switchboard, Unacceptable
+from mintvalve.net.codec import BadBytes, Cause, Code, Decoder, Kind, Message, encode, release
+from mintvalve.net.connection import Connection, Listener
+from mintvalve.net.loop import Loop
+
+log = logging.getLogger("mintvalve.front.binary")
+OWED_MS = 10_000.0  # ms; a release that finds no connection waits so long for the next one
+
+
+@dataclass(slots=True, eq=False)
+class Talk:
+    """One caller's connection."""
+
+    connection: Connection
+    host: str
+    decoder: Decoder = field(default_factory=Decoder)
+    calls: dict[int, Call] = field(default_factory=dict)  # by own number: those taken on it, not over
+
+
+def request_from(message: Message) -> Request:
+    """A set-up as a request; BadBytes where it can't be read."""
+    figures = message.fields(Code.FIGURES)
+    try:
+        dest, width, via = (int(figures.get(name, default)) for name, default in
+                            (("dest", ""), ("width", "1"), ("via", "-1")))
+    except ValueError as fault:
+        raise BadBytes(f"figures that can't be read: {fault}") from fault
+    return Request(
+        identity=message.call, kind=message.text(Code.CLASS), called=message.text(Code.CALLED),
+        wait_ms=float(message.whole(Code.WAIT, 0)), destination=dest, width=width, tandem=via,
+        in_transit=figures.get("transit", "0") == "1", was_cut=figures.get("again", "0") == "1",
+        description=message.parameters.get(Code.DESCRIPTION),
+    )
+
+
+class BinaryFront:
+    """Callers by the binary protocol."""
+
+    def __init__(
+        self, loop: Loop, switchboard: Switchboard, address: tuple[str, int], room: int,
+        unknown: Callable[[int], None],
+    ) -> None:
+        self.loop, self.switchboard, self.unknown = loop, switchboard, unknown
+        self.talks: dict[Connection, Talk] = {}
+        self.owed: dict[int, bytes] = {}  # releases that found no connection
+        self.serving = True
+        self.listener = Listener(loop, *address, self, room)
+
+    # Connections.
+
+    def opened(self, connection: Connection) -> None:
+        try:
+            host = connection.sock.getpeername()[0]
+        except OSError:
+            host = ""
+        self.talks[connection] = Talk(connection, host)
+        for message in self.owed.values():
+            connection.send(message)
+        self.owed.clear()
+
+    def closed(self, connection: Connection, reason: str) -> None:
+        self.listener.forget(connection)
+        talk = self.talks.pop(connection)
+        log.debug("caller's connection closed", extra={"reason": reason, "calls": len(talk.calls)})
+        for call in list(talk.calls.values()):
+            self.switchboard.caller_left(call)
+
+    def received(self, connection: Connection, data: bytes) -> None:
+        talk = self.talks[connection]
+        try:
+            for message in talk.decoder.feed(data):
+                self.take(talk, message)
+        except BadBytes as fault:
+            log.warning("unreadable", extra={"caller": talk.host, "fault": str(fault)})
+            connection.end("unreadable")
+
+    def take(self, talk: Talk, message: Message) -> None:
+        match message.kind:
+            case Kind.SET_UP:
+                self.set_up(talk, message)
+            case Kind.RELEASE:
+                self.release(talk, message)
+            case Kind.TEST:
+                passed = b"\1" if self.serving else b"\0"
+                talk.connection.send(encode(Message(Kind.TESTED, message.call, {Code.CAUSE: passed})))
+            case _:
+                pass
+
+    def set_up(self, talk: Talk, message: Message) -> None:
+        request = request_from(message)
+        try:
+            self.switchboard.offer(request, Side(self, talk))
+        except Unacceptable as fault:
+            log.warning("set-up not taken", extra={"error": fault.name, "detail": str(fault)})
+            if fault.name != "duplicate_id":  # an answer would be the second one of the call that is open
+                talk.connection.send(release(message.call, Cause.FAULT))
+
+    def release(self, talk: Talk, message: Message) -> None:
+        """A set-up given up, or the end of a call that stands; it may come on any connection."""
+        call = self.switchboard.known.get(message.call)
+        if call is None:
+            self.unknown(message.call)
+        elif call.state is CallState.STANDING:
+            self.switchboard.caller_released(call)
+        else:
+            self.switchboard.caller_left(call)
+        talk.connection.send(encode(Message(Kind.RELEASE_HEARD, message.call)))
+
+    # What callers hear.
+
+    def release_to(self, talk: Talk | None, identity: int, cause: int) -> None:
+        """On the connection of its set-up, else on one of the same caller, else on any, else on the next."""
+        message = release(identity, cause)
+        host = talk.host if talk is not None else ""
+        order = sorted(self.talks.values(), key=lambda each: (each is not talk, each.host != host))
+        if not any(each.connection.send(message) for each in order):
+            self.owed[identity] = message
+            self.loop.after(OWED_MS, lambda: self.forget_owed(identity))
+
+    def forget_owed(self, identity: int) -> None:
+        self.owed.pop(identity, None)
+
+    def close(self) -> None:
+        """Take no new connections."""
+        self.listener.close()
+
+
+class Side:
+    """One call's caller on this front."""
+
+    __slots__ = ("front", "talk")
+
+    def __init__(self, front: BinaryFront, talk: Talk) -> None:
+        self.front, self.talk = front, talk
+
+    def taken(self, call: Call) -> None:
+        self.talk.calls[call.number] = call
+
+    def left(self, call: Call) -> None:
+        self.talk.calls.pop(call.number, None)
+
+    def progress(self, call: Call) -> None:
+        self.talk.connection.send(encode(Message(Kind.PROGRESS, call.request.identity)))
+
+    def answered(self, call: Call, description: bytes | None) -> None:
+        self.talk.calls.pop(call.number, None)
+        parameters: dict[int, bytes] = {} if description is None else {Code.DESCRIPTION: description}
+        self.talk.connection.send(encode(Message(Kind.ANSWER, call.request.identity, parameters)))
+
+    def refused(self, call: Call, retry_after_ms: float) -> None:
+        """The protocol has no field for when to come back."""
+        self.final(call, Cause.CONGESTION)
+
+    def failed(self, call: Call) -> None:
+        self.final(call, Cause.TEMPORARY)
+
+    def final(self, call: Call, cause: int) -> None:
+        self.talk.calls.pop(call.number, None)
+        self.talk.connection.send(release(call.request.identity, cause))
+
+    def released(self, call: Call, cut: bool) -> None:
+        cause = Cause.TEMPORARY if cut else Cause.NORMAL
+        self.front.release_to(self.talk, call.request.identity, cause)
--- /dev/null
+++ b/mintvalve/net/connection.py
@@ -0,0 +1,201 @@
+"""A TCP connection on the loop: partial reads and writes, bounded buffers, one end."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from enum import Enum
+from typing import Protocol
+
+from mintvalve.net.loop import READ, WRITE, Loop
+
+CHUNK = 65536  # bytes read at a time
+BUFFER = 1 << 20  # bytes; the most that may wait to be written
+LINGER_MS = 2000.0  # ms; a finished connection may take so long to write what waits
+
+
+class ConnectionState(Enum):
+    """From the dial to the end."""
+
+    CONNECTING = "connecting"
+    OPEN = "open"
+    FINISHING = "finishing"  # writes what waits, then closes; reads no more
+    CLOSED = "closed"
+
+
+class Owner(Protocol):
+    """Whoever speaks over a connection."""
+
+    def opened(self, connection: Connection) -> None: ...
+
+    def received(self, connection: Connection, data: bytes) -> None: ...
+
+    def closed(self, connection: Connection, reason: str) -> None: ...
+
+
+class Connection:
+    """One connection; its owner hears of its end exactly once, never from within a call of its own."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, most: int = BUFFER) -> None:
+        self.loop, self.sock, self.owner, self.most = loop, sock, owner, most
+        self.state = ConnectionState.OPEN
+        self.waiting = bytearray()
+        self.queued = self.written = 0  # bytes, over the connection's life
+        self.refused = False
+        self.heard_at = self.born = loop.now()
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    @classmethod
+    def accepted(cls, loop: Loop, sock: socket.socket, owner: Owner, most: int = BUFFER) -> Connection:
+        connection = cls(loop, sock, owner, most)
+        loop.watch(sock, READ, connection.ready)
+        return connection
+
+    @classmethod
+    def dial(cls, loop: Loop, host: str, port: int, owner: Owner, timeout_ms: float) -> Connection:
+        """Connect; `opened` or `closed` follows, within the time-out."""
+        connection = cls(loop, socket.socket(socket.AF_INET, socket.SOCK_STREAM), owner)
+        connection.state = ConnectionState.CONNECTING
+        error = connection.sock.connect_ex((host, port))
+        if error not in (0, errno.EINPROGRESS):
+            connection.fail(error)
+        else:
+            loop.watch(connection.sock, WRITE, connection.ready)
+            loop.after(timeout_ms, connection.dial_overdue)
+        return connection
+
+    def dial_overdue(self) -> None:
+        if self.state is ConnectionState.CONNECTING:
+            self.end("no connection in time")
+
+    @property
+    def open(self) -> bool:
+        return self.state is ConnectionState.OPEN
+
+    def send(self, data: bytes) -> bool:
+        """Write, or keep what can't be written yet; False where the connection is no longer open or full."""
+        if self.state is not ConnectionState.OPEN or len(self.waiting) + len(data) > self.most:
+            return False
+        self.queued += len(data)
+        idle = not self.waiting
+        self.waiting += data
+        if idle:
+            self.flush()
+        return True
+
+    def finish(self, last: bytes = b"") -> None:
+        """Write what waits and these last bytes, whatever their number, then close."""
+        if self.state is ConnectionState.OPEN:
+            self.state = ConnectionState.FINISHING
+            self.queued += len(last)
+            self.waiting += last
+            self.loop.after(LINGER_MS, lambda: self.end("finished, not all written"))
+            self.flush()
+        elif self.state is ConnectionState.CONNECTING:
+            self.end("finished before it was up")
+
+    def end(self, reason: str) -> None:
+        """Close at once; the owner hears of it in the next turn."""
+        if self.state is ConnectionState.CLOSED:
+            return
+        self.state = ConnectionState.CLOSED
+        self.loop.watch(self.sock, 0, self.ready)
+        self.sock.close()
+        self.loop.soon(lambda: self.owner.closed(self, reason))
+
+    def fail(self, error: int) -> None:
+        self.refused = error == errno.ECONNREFUSED
+        self.end(errno.errorcode.get(error, str(error)))
+
+    def ready(self, events: int) -> None:
+        if self.state is ConnectionState.CONNECTING:
+            self.connected()
+            return
+        if events & WRITE:
+            self.flush()
+        if events & READ and self.state is ConnectionState.OPEN:
+            self.read()
+
+    def connected(self) -> None:
+        error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self.fail(error)
+            return
+        self.state, self.heard_at = ConnectionState.OPEN, self.loop.now()
+        self.loop.watch(self.sock, READ, self.ready)
+        self.owner.opened(self)
+
+    def read(self) -> None:
+        try:
+            data = self.sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as fault:
+            self.fail(fault.errno or 0)
+            return
+        if not data:
+            self.end("closed by the other side")
+            return
+        self.heard_at = self.loop.now()
+        self.owner.received(self, data)
+
+    def flush(self) -> None:
+        """Write as much as goes; watch for room while something waits."""
+        try:
+            while self.waiting:
+                count = self.sock.send(self.waiting)
+                del self.waiting[:count]
+                self.written += count
+        except (BlockingIOError, InterruptedError):
+            pass
+        except OSError as fault:
+            self.fail(fault.errno or 0)
+            return
+        if not self.waiting and self.state is ConnectionState.FINISHING:
+            self.end("finished")
+            return
+        reads = READ if self.state is ConnectionState.OPEN else 0
+        self.loop.watch(self.sock, reads | (WRITE if self.waiting else 0), self.ready)
+
+
+class Listener:
+    """Accepts connections on one address."""
+
+    def __init__(self, loop: Loop, host: str, port: int, owner: Owner, room: int, most: int = BUFFER) -> None:
+        self.loop, self.owner, self.room, self.most = loop, owner, room, most
+        self.connections: set[Connection] = set()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind((host, port))
+        self.sock.listen(512)
+        self.sock.setblocking(False)
+        self.address: tuple[str, int] = self.sock.getsockname()
+        loop.watch(self.sock, READ, self.ready)
+
+    def ready(self, _: int) -> None:
+        """Accept what has come, as far as descriptors last; the rest waits in the machine's queue."""
+        while len(self.connections) < self.room:
+            try:
+                sock, _peer = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:
+                break  # out of descriptors: as if there were no room
+            connection = Connection.accepted(self.loop, sock, self.owner, self.most)
+            self.connections.add(connection)
+            self.owner.opened(connection)
+        self.loop.watch(self.sock, 0, self.ready)
+        self.loop.after(20.0, self.resume)
+
+    def resume(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.watch(self.sock, READ, self.ready)
+
+    def forget(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.watch(self.sock, 0, self.ready)
+            self.sock.close()
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from mintvalve.drill import WireError, report_from, run, settings_from
+from mintvalve.drill import WireError, run
+from mintvalve.settings import report_from, settings_from
 
 SETTINGS = (
     "Balancers=3 Limits.SendCap=6 Limits.Probes=false Me=0 Specifics.HomeNo=0 Specifics.ClearWaitMs=300.0 "
