Call control over WebSocket, as a second front before the same core

Admission, time-outs, attempts and rules are the switchboard's, for both fronts alike. A tab that closes cancels its attempt; a client that leaves its answers unread is closed with 1008 once a bounded buffer is full, and its open calls are given up; calls that stand go on, and a client that comes back follows them. Checked: seven scripted calls (free, full, busy, moot, cut, short, silent) over both fronts against stand-in exchanges get the same answers, and exchanges the same set-ups; 27 odd messages get named errors and the connection goes on. The clock of these tests stands still unless a test moves it.

--- a/mintvalve/__main__.py
+++ b/mintvalve/__main__.py
@@ -19,6 +19,7 @@
 from mintvalve.net.binary_front import BinaryFront
 from mintvalve.net.exchanges import Exchanges
 from mintvalve.net.loop import Loop
+from mintvalve.net.websocket_front import Options, WebSocketFront
 from mintvalve.net.names import Entry, Names, host_port, known_events, merged
 from mintvalve.settings import flatten, on_sockets, settings_of
 
@@ -27,7 +28,7 @@
 FEWEST = 16  # connections of callers at the least
 
 
-def build(config: dict[str, Any]) -> Lifecycle:
+def build(config: dict[str, Any], websocket: Options | None = None) -> Lifecycle:
     """All parts, from a configuration."""
     pairs = flatten(config["settings"])
     settings = on_sockets(settings_of(pairs), SLACK_MS)
@@ -52,12 +53,16 @@
     tell(merged(known_events(known)), ListKind.CACHED)
     Names(loop, host_port(config["nameserver"]), int(known.get("seq", 0)), tell)
     listen = host_port(os.environ.get("PROXY_LISTEN") or config["listen"])
-    room = max(FEWEST, int(config.get("limits", {}).get("sockets", 1024)) - SPARE_DESCRIPTORS)
+    sockets = int(config.get("limits", {}).get("sockets", 1024)) - SPARE_DESCRIPTORS
+    room = max(FEWEST, sockets - (websocket.connections if websocket else 0))
 
     def fronts() -> list[Front]:
         binary = BinaryFront(loop, board, listen, room, exchanges.release_everywhere)
+        opened: list[Front] = [binary]
+        if websocket is not None:
+            opened.append(WebSocketFront(loop, board, websocket, host_port(websocket.listen)))
         exchanges.strange = lambda call, cause: binary.release_to(None, call, cause)
-        return [binary]
+        return opened
 
     return Lifecycle(loop, board, exchanges.joined, fronts)
 
@@ -65,12 +70,14 @@
 def main() -> int:
     parser = argparse.ArgumentParser(prog="mintvalve", description="One call controller on sockets.")
     parser.add_argument("--config", default=os.environ.get("PROXY_CONFIG"), help="default: $PROXY_CONFIG")
+    parser.add_argument("--websocket", metavar="FILE", help="open the WebSocket front that FILE describes")
     chosen = parser.parse_args()
     logs.start(os.environ.get("MINTVALVE_LOG", "info"))
     if not chosen.config:
         parser.error("no configuration: give --config or set PROXY_CONFIG")
     try:
-        lifecycle = build(json.loads(Path(chosen.config).read_text()))
+        websocket = Options.parse(Path(chosen.websocket).read_text()) if chosen.websocket else None
+        lifecycle = build(json.loads(Path(chosen.config).read_text()), websocket)
     except (OSError, ValueError, KeyError) as fault:
         print(f"mintvalve: the configuration can't be used: {type(fault).__name__}: {fault}", file=sys.stderr)
         return 2
--- a/mintvalve/lifecycle.py
+++ b/mintvalve/lifecycle.py
@@ -49,6 +49,8 @@
 
     def close(self) -> None: ...
 
+    def shut(self) -> None: ...
+
 
 class Lifecycle:
     """Moves from phase to phase, and owns what begins and ends with them."""
@@ -131,6 +133,8 @@
         if self.phase is Phase.LINGERING:
             self.enter(Phase.CLOSING)
             self.switchboard.turn_all_away()
+            for front in self.fronts:
+                front.shut()
 
     def end(self) -> None:
         if self.phase is Phase.CLOSING:
--- a/mintvalve/net/binary_front.py
+++ b/mintvalve/net/binary_front.py
@@ -133,6 +133,9 @@
         """Take no new connections."""
         self.listener.close()
 
+    def shut(self) -> None:
+        """The program ends; callers see it as their connections close."""
+
 
 class Side:
     """One call's caller on this front."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -6,9 +6,15 @@
 
 from __future__ import annotations
 
+import base64
+import json
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
+
+from wsproto import ConnectionType, WSConnection
+from wsproto import events as ws
 
 from mintvalve.core.calls import Call, CallOff, Ended, Left, Listed, News, Order, Room, Send, Stood, TurnAway
 from mintvalve.core.switchboard import Switchboard
@@ -18,9 +24,11 @@
 from mintvalve.net.connection import Connection, Listener
 from mintvalve.net.exchanges import Exchanges
 from mintvalve.net.loop import Loop
+from mintvalve.net.websocket_front import Options, WebSocketFront
 from tests.world import SETTINGS
 
 RULES: Settings = replace(SETTINGS, release_wait_ms=250.0)
+ORIGIN = "http://desk.example"
 PATIENCE_S = 20.0  # s of real time; only a test that fails waits so long
 
 
@@ -126,12 +134,31 @@
         self.connection.end("the caller is gone")
 
 
-class BinaryCaller(Talker):
-    """A caller by the platform's protocol; `heard` is in the words that both fronts share."""
+class Caller(Talker):
+    """A caller on either front; `heard` is in the words that both share."""
+
+    def __init__(self, rig: Rig) -> None:
+        raise NotImplementedError
+
+    def begin(self, rig: Rig, address: tuple[str, int]) -> None:
+        self.heard: list[tuple[object, ...]] = []
+        super().__init__(rig, address)
+
+    def set_up(
+        self, call: int, to: int = 1, wait: int = 3000, kind: str = "plain", called: str = "n",
+    ) -> None:
+        raise NotImplementedError
+
+    def release(self, call: int) -> None:
+        raise NotImplementedError
+
+
+class BinaryCaller(Caller):
+    """A caller by the platform's protocol."""
 
     def __init__(self, rig: Rig) -> None:
-        self.decoder, self.heard, self.messages = Decoder(), list[tuple[object, ...]](), list[Message]()
-        super().__init__(rig, rig.front.listener.address)
+        self.decoder, self.messages = Decoder(), list[Message]()
+        self.begin(rig, rig.front.listener.address)
 
     def received(self, connection: Connection, data: bytes) -> None:
         for message in self.decoder.feed(data):
@@ -164,6 +191,60 @@
         self.connection.send(release(call, Cause.NORMAL))
 
 
+class WebCaller(Caller):
+    """A client of the WebSocket front, in the same words."""
+
+    def __init__(self, rig: Rig, origin: str = ORIGIN, path: str = "/calls") -> None:
+        self.wire = WSConnection(ConnectionType.CLIENT)
+        self.errors: list[str] = []
+        self.raw: list[dict[str, Any]] = []
+        self.accepted, self.status, self.code = False, 0, 0
+        self.begin(rig, rig.web.listener.address)
+        request = ws.Request(host="here", target=path, extra_headers=[(b"origin", origin.encode())])
+        self.connection.send(self.wire.send(request))
+        rig.until(lambda: self.accepted or self.status)
+
+    def received(self, connection: Connection, data: bytes) -> None:
+        self.wire.receive_data(data)
+        for event in self.wire.events():
+            match event:
+                case ws.AcceptConnection():
+                    self.accepted = True
+                case ws.RejectConnection():
+                    self.status = event.status_code
+                case ws.CloseConnection():
+                    self.code = event.code
+                case ws.Ping():
+                    connection.send(self.wire.send(event.response()))
+                case ws.TextMessage():
+                    self.hear(json.loads(event.data))
+
+    def hear(self, message: dict[str, Any]) -> None:
+        self.raw.append(message)
+        name = message.get("id")
+        match message["type"]:
+            case "answer":
+                self.heard.append(("answer", name, base64.b64decode(message["description"])))
+            case "release":
+                self.heard.append(("release", name, message["cause"]))
+            case "error":
+                self.errors.append(message["error"])
+            case kind:
+                self.heard.append((kind, name))
+
+    def send(self, **message: object) -> None:
+        self.connection.send(self.wire.send(ws.TextMessage(json.dumps(message))))
+
+    def set_up(
+        self, call: int, to: int = 1, wait: int = 3000, kind: str = "plain", called: str = "n",
+    ) -> None:
+        self.send(type="set_up", id=f"{call:016x}", **{"class": kind}, number=called, wait_ms=wait,
+                  destination=to, description=base64.b64encode(b"offer\0\xff").decode())
+
+    def release(self, call: int) -> None:
+        self.send(type="release", id=f"{call:016x}")
+
+
 class Rig:
     """The controller's parts, joined as the program joins them, with a plain desk and stand-in exchanges."""
 
@@ -177,6 +258,8 @@
         self.stand_ins = [StandIn(self.loop) for _ in range(exchanges)]
         self.listed(*[self.entry(cell) for cell in range(1, exchanges + 1)])
         self.front = BinaryFront(self.loop, self.board, ("127.0.0.1", 0), 64, self.far.release_everywhere)
+        options = Options("127.0.0.1:0", (ORIGIN,), outbound_bytes=8192)
+        self.web = WebSocketFront(self.loop, self.board, options, ("127.0.0.1", 0))
         self.far.strange = lambda call, cause: self.front.release_to(None, call, cause)
         self.until(self.far.joined)
 
@@ -212,6 +295,7 @@
 
     def close(self) -> None:
         self.front.close()
+        self.web.close()
         for each in self.stand_ins:
             each.listener.close()
         for key in list(self.loop.selector.get_map().values()):
--- /dev/null
+++ b/tests/test_fronts.py
@@ -0,0 +1,161 @@
+"""The same scripted calls over binary signalling and over WebSocket get the same answers."""
+
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from mintvalve.core.calls import Ended
+from mintvalve.interface import Outcome
+from mintvalve.net.codec import Cause, Code, Kind, Message
+from tests.rig import BinaryCaller, Caller, PlainDesk, Rig, StandIn, WebCaller
+
+FRONTS: list[type[Caller]] = [BinaryCaller, WebCaller]
+TEMPORARY, NORMAL = int(Cause.TEMPORARY), int(Cause.NORMAL)
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    rig = Rig(desk=PlainDesk(tries=2))
+    yield rig
+    rig.close()
+
+
+def by_number(stand_in: StandIn, message: Message) -> None:
+    """What a stand-in depot switch does is told by the number called."""
+    call = message.call
+    match message.text(Code.CALLED):
+        case "free":
+            stand_in.say(Kind.PROGRESS, call)
+            stand_in.answer(call, b"room\0\xfe")
+        case "full":
+            stand_in.release(call, Cause.NO_CIRCUIT, "group_full")
+        case "busy":
+            stand_in.release(call, Cause.BUSY, "user_busy")
+        case "moot":
+            stand_in.release(call, Cause.MOOT)
+        case "cut":
+            stand_in.answer(call)
+            stand_in.release(call, Cause.TEMPORARY)
+        case "short":
+            stand_in.answer(call)
+            stand_in.release(call, Cause.NORMAL)
+
+
+SCRIPT: dict[str, list[tuple[object, ...]]] = {
+    "free": [("progress",), ("answer", b"room\0\xfe")],
+    "full": [("refused",)],
+    "busy": [("refused",)],
+    "moot": [("refused",)],
+    "cut": [("answer", b"here"), ("release", TEMPORARY)],
+    "short": [("answer", b"here"), ("release", NORMAL)],
+    "silent": [("refused",)],
+}
+
+
+def play(rig: Rig, caller: Caller, first_id: int) -> dict[str, list[tuple[object, ...]]]:
+    """All calls of the script at once; what was heard of each, without its id."""
+    ids = {number: first_id + place for place, number in enumerate(SCRIPT)}
+    for number, call in ids.items():
+        caller.set_up(call, called=number, wait=1500)
+    rig.settle()
+    rig.later(1600)
+    names = {f"{call:016x}": number for number, call in ids.items()}
+    heard: dict[str, list[tuple[object, ...]]] = {number: [] for number in SCRIPT}
+    for kind, name, *more in caller.heard:
+        heard[names[str(name)]].append((kind, *more))
+    return heard
+
+
+def test_scripted_calls_get_the_same_answers_over_both_fronts(rig: Rig) -> None:
+    rig.exchange().answering = by_number
+    played = [play(rig, front(rig), 100 * (place + 1)) for place, front in enumerate(FRONTS)]
+    assert played[0] == played[1] == SCRIPT
+    heard = [each for each in rig.exchange().heard if each.kind == Kind.SET_UP]
+    sent = [sorted((each.text(Code.CLASS), each.text(Code.CALLED), each.parameters[Code.DESCRIPTION])
+                   for each in heard if each.call // 100 == place) for place in (1, 2)]
+    assert sent[0] == sent[1]
+
+
+@pytest.mark.parametrize("front", FRONTS)
+class TestEachFront:
+    """One rule at a time, over each front."""
+
+    def test_a_refusal_comes_at_once_and_only_once(self, rig: Rig, front: type[Caller]) -> None:
+        rig.exchange().answering = by_number
+        caller = front(rig)
+        caller.set_up(5, called="full", wait=3000)
+        rig.until(lambda: caller.heard)  # the clock stands still: nothing waited for a deadline
+        rig.later(4000)
+        assert caller.heard == [("refused", f"{5:016x}")]
+
+    def test_a_silent_exchange_is_answered_for_before_the_caller_gives_up(
+        self, rig: Rig, front: type[Caller]
+    ) -> None:
+        caller = front(rig)
+        caller.set_up(5, wait=1000)
+        rig.until(lambda: rig.exchange().by_call)
+        rig.later(995, step=5.0)
+        assert caller.heard == [("refused", f"{5:016x}")]
+        assert rig.exchange().kinds(5)[-1] == (Kind.RELEASE, Cause.NORMAL)
+
+    def test_after_a_reset_the_next_attempt_waits(self, rig: Rig, front: type[Caller]) -> None:
+        """A desk that sends again at once is held back by the core, whichever front the call came by."""
+        caller = front(rig)
+        caller.set_up(5)
+        rig.until(lambda: rig.exchange().by_call)
+        rig.exchange().release(5, Cause.TEMPORARY)
+        rig.until(lambda: caller.heard)
+        assert [each.outcome for each in rig.desk.news if isinstance(each, Ended)] == [
+            Outcome.RESET, Outcome.NOT_SENT]
+        assert [kind for kind, _ in rig.exchange().kinds(5)] == [Kind.SET_UP]
+
+    def test_a_caller_that_leaves_mid_attempt_cancels_it(self, rig: Rig, front: type[Caller]) -> None:
+        caller = front(rig)
+        caller.set_up(5)
+        rig.until(lambda: rig.exchange().by_call)
+        caller.hang_up()
+        rig.until(lambda: (Kind.RELEASE, NORMAL) in rig.exchange().kinds(5))
+        assert not rig.board.calls and rig.board.open == 0
+        ended = [each for each in rig.desk.news if isinstance(each, Ended)]
+        assert [(each.outcome, each.ended) for each in ended] == [(Outcome.CANCELLED, True)]
+
+    def test_a_standing_call_outlives_its_connection(self, rig: Rig, front: type[Caller]) -> None:
+        caller = front(rig)
+        rig.exchange().answering = by_number
+        caller.set_up(5, called="free")
+        rig.until(lambda: len(caller.heard) == 2)
+        caller.hang_up()
+        rig.settle()
+        assert len(rig.board.calls) == 1 and (Kind.RELEASE, NORMAL) not in rig.exchange().kinds(5)
+
+    def test_a_set_up_given_up_is_answered_no_more(self, rig: Rig, front: type[Caller]) -> None:
+        caller = front(rig)
+        caller.set_up(5)
+        rig.until(lambda: rig.exchange().by_call)
+        caller.release(5)
+        rig.until(lambda: (Kind.RELEASE, NORMAL) in rig.exchange().kinds(5))
+        rig.exchange().answer(5)
+        rig.later(3000)
+        assert caller.heard == []
+
+    def test_a_duplicate_id_leaves_the_first_call_alone(self, rig: Rig, front: type[Caller]) -> None:
+        caller = front(rig)
+        caller.set_up(5)
+        rig.until(lambda: rig.exchange().by_call)
+        caller.set_up(5)
+        rig.settle()
+        rig.exchange().answer(5)
+        rig.until(lambda: caller.heard)
+        assert caller.heard == [("answer", f"{5:016x}", b"here")]
+        assert [kind for kind, _ in rig.exchange().kinds(5)] == [Kind.SET_UP]
+
+    def test_a_desk_that_falls_silent_or_fails_does_not_cost_the_answer(
+        self, rig: Rig, front: type[Caller]
+    ) -> None:
+        pick: Callable[..., list[object]] = lambda call: []  # noqa: E731
+        rig.desk.pick = pick  # type: ignore[assignment, method-assign]
+        caller = front(rig)
+        caller.set_up(5, wait=1000)
+        rig.settle()
+        rig.later(990, step=5.0)
+        assert caller.heard == [("refused", f"{5:016x}")]
--- /dev/null
+++ b/tests/test_websocket.py
@@ -0,0 +1,160 @@
+"""What is the WebSocket front's own: the handshake, named errors, slow and vanished clients, following."""
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from wsproto import events as ws
+
+from mintvalve.net.codec import Kind
+from mintvalve.net.connection import Connection
+from mintvalve.net.websocket_front import Options
+from tests.rig import BinaryCaller, Rig, Talker, WebCaller
+
+GOOD = {"type": "set_up", "id": f"{5:016x}", "class": "plain", "number": "n", "wait_ms": 1000,
+        "destination": 1}
+
+
+@pytest.fixture
+def rig() -> Iterator[Rig]:
+    rig = Rig()
+    yield rig
+    rig.close()
+
+
+@pytest.mark.parametrize(("more", "status"), [
+    ({"origin": "http://elsewhere.example"}, 403), ({"origin": ""}, 403), ({"path": "/other"}, 404),
+])
+def test_other_pages_and_paths_are_turned_away(rig: Rig, more: dict[str, str], status: int) -> None:
+    caller = WebCaller(rig, **more)
+    assert caller.status == status and not caller.accepted
+    rig.until(lambda: caller.ended)
+
+
+class Plain(Talker):
+    """Speaks no WebSocket."""
+
+    def received(self, connection: Connection, data: bytes) -> None:
+        self.answer = getattr(self, "answer", b"") + data
+
+
+@pytest.mark.parametrize("text", [
+    b"GET /calls HTTP/1.1\r\nHost: x\r\n\r\n", b"\x16\x03\x01\x02\0\1\0\r\n\r\n",
+])
+def test_what_is_no_websocket_is_told_so(rig: Rig, text: bytes) -> None:
+    talker = Plain(rig, rig.web.listener.address)
+    talker.connection.send(text)
+    rig.until(lambda: talker.ended)
+    assert talker.answer.startswith(b"HTTP/1.1 4")
+
+
+ODD: list[tuple[Any, str]] = [
+    ("{", "malformed"), ("[]", "malformed"), ("[" * 5000, "malformed"), ("", "malformed"),
+    ({"type": "dance"}, "unknown_type"), ({}, "unknown_type"), ({"type": ["set_up"]}, "unknown_type"),
+    ({**GOOD, "class": "nobody"}, "unknown_class"), ({**GOOD, "class": 7}, "bad_field"),
+    ({**GOOD, "id": "5"}, "bad_field"), ({**GOOD, "id": "F" * 16}, "bad_field"),
+    ({**GOOD, "id": None}, "bad_field"),
+    ({**GOOD, "wait_ms": 0}, "bad_field"), ({**GOOD, "wait_ms": True}, "bad_field"),
+    ({**GOOD, "wait_ms": 1e400}, "bad_field"), ({**GOOD, "destination": "1"}, "bad_field"),
+    ({**GOOD, "number": ""}, "bad_field"), ({**GOOD, "number": "\ud800"}, "bad_field"),
+    ({**GOOD, "number": "n" * 65}, "bad_field"), ({**GOOD, "description": "?"}, "bad_field"),
+    ({**GOOD, "description": 7}, "bad_field"), ({**GOOD, "description": "A" * 20000}, "bad_field"),
+    ({**GOOD, "again": 1}, "bad_field"), ({**GOOD, "number": "n" * 40000}, "too_large"),
+    ({"type": "release", "id": f"{9:016x}"}, "unknown_call"), ({"type": "release"}, "bad_field"),
+    ({"type": "follow", "id": f"{9:016x}"}, "unknown_call"),
+]
+
+
+@pytest.mark.parametrize(("message", "error"), ODD)
+def test_a_message_that_cant_be_served_gets_a_named_error(rig: Rig, message: Any, error: str) -> None:
+    caller = WebCaller(rig)
+    text = message if isinstance(message, str) else json.dumps(message)
+    caller.connection.send(caller.wire.send(ws.TextMessage(text)))
+    rig.until(lambda: caller.errors)
+    assert caller.errors == [error]
+    caller.set_up(5)  # and the connection goes on
+    rig.until(lambda: rig.exchange().by_call)
+
+
+def test_binary_frames_and_duplicate_ids_get_named_errors(rig: Rig) -> None:
+    caller = WebCaller(rig)
+    caller.connection.send(caller.wire.send(ws.BytesMessage(b"{}")))
+    caller.set_up(5)
+    caller.set_up(5)
+    rig.until(lambda: len(caller.errors) == 2)
+    assert caller.errors == ["not_text", "duplicate_id"]
+
+
+def test_a_refusal_says_when_to_come_back(rig: Rig) -> None:
+    caller = WebCaller(rig)
+    rig.exchange().answering = lambda at, message: at.release(message.call, 34)  # type: ignore[arg-type]
+    caller.set_up(5)
+    rig.until(lambda: caller.raw)
+    assert caller.raw == [{"type": "refused", "id": f"{5:016x}", "retry_after_ms": 750}]
+
+
+def test_a_slow_reader_is_closed_with_a_code_and_its_open_calls_given_up(rig: Rig) -> None:
+    caller = WebCaller(rig)
+    caller.set_up(5)
+    rig.until(lambda: rig.exchange().by_call)
+    rig.loop.watch(caller.connection.sock, 0, caller.connection.ready)  # reads no more
+    talk = next(iter(rig.web.talks.values()))
+    call = next(iter(rig.board.calls.values()))
+    while talk.connection.open:  # the machine's own buffers fill first
+        call.caller.progress(call)
+    assert len(talk.connection.waiting) <= 8192 + 200  # bounded, but for the close frame
+    rig.until(lambda: (Kind.RELEASE, 16) in rig.exchange().kinds(5))
+    assert not rig.board.calls
+    rig.loop.watch(caller.connection.sock, 1, caller.connection.ready)
+    rig.until(lambda: caller.code)
+    assert caller.code == 1008
+
+
+def test_a_client_without_a_sign_of_life_is_taken_to_be_gone(rig: Rig) -> None:
+    caller = WebCaller(rig)
+    caller.set_up(5, wait=60_000)
+    rig.until(lambda: rig.exchange().by_call)
+    rig.loop.watch(caller.connection.sock, 0, caller.connection.ready)
+    rig.later(40_100, step=500.0)
+    rig.until(lambda: not rig.board.calls)
+
+
+def test_a_client_that_comes_back_follows_its_call_and_hears_of_an_end_it_missed(rig: Rig) -> None:
+    first = WebCaller(rig)
+    for call in (5, 6):
+        first.set_up(call)
+    rig.until(lambda: len(rig.exchange().by_call) == 2)
+    for call in (5, 6):
+        rig.exchange().answer(call)
+    rig.until(lambda: len(first.heard) == 2)
+    first.hang_up()
+    rig.settle()
+    rig.exchange().say(Kind.RELEASE, 5, {61: b"\x10"})
+    rig.until(lambda: len(rig.board.calls) == 1)
+    second = WebCaller(rig)
+    second.send(type="follow", id=f"{5:016x}")
+    second.send(type="follow", id=f"{6:016x}")
+    rig.until(lambda: len(second.heard) == 2)
+    assert second.heard == [("release", f"{5:016x}", 16), ("answer", f"{6:016x}", b"here")]
+    second.release(6)
+    rig.until(lambda: (Kind.RELEASE, 16) in rig.exchange().kinds(6))
+
+
+def test_calls_of_the_binary_front_are_not_a_clients_to_release(rig: Rig) -> None:
+    BinaryCaller(rig).set_up(5)
+    rig.until(lambda: rig.exchange().by_call)
+    client = WebCaller(rig)
+    client.release(5)
+    rig.until(lambda: client.errors)
+    assert client.errors == ["unknown_call"] and len(rig.board.calls) == 1
+
+
+@pytest.mark.parametrize(("text", "said"), [
+    ("origins = []", "listen"), ('listen = "h:1"', "origins"), ('listen = "h:1"\norigins = "x"', "origins"),
+    ('listen = "h:1"\norigins = []\nping_ms = 0', "ping_ms"),
+    ('listen = "h:1"\norigins = []\nx = 0', "unknown key x"),
+])
+def test_a_file_that_cant_be_used_is_refused_with_the_key(text: str, said: str) -> None:
+    with pytest.raises(ValueError, match=said):
+        Options.parse(text)
