--- a/mintvalve/__main__.py
+++ b/mintvalve/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import json
 import os
+import secrets
 import sys
 from pathlib import Path
 from typing import Any
@@ -34,7 +35,7 @@
     settings = on_sockets(settings_of(pairs), SLACK_MS)
     loop = Loop()
     board = Switchboard(settings, loop)
-    seed = int(str(config.get("seed", "0")), 16)
+    seed = int(str(config["seed"]), 16) if "seed" in config else secrets.randbits(64)
 
     def remind(ms: float, token: int) -> None:
         loop.after(ms, lambda: board.ring(token))
--- a/mintvalve/net/websocket_front.py
+++ b/mintvalve/net/websocket_front.py
@@ -50,24 +50,30 @@
     ping_ms: int = 20_000
 
     @classmethod
-    def parse(cls, text: str) -> Options:
-        """ValueError, with the key's name, where the text is not to be used."""
-        table = tomllib.loads(text)
+    def faults(cls, table: dict[str, Any]) -> list[tuple[str, str]]:
+        """Every fault of a file's table, with its key."""
         known = {each.name for each in fields(cls)}
-        if unknown := sorted(set(table) - known):
-            raise ValueError(f"unknown key {unknown[0]}")
-        for name in ("listen", "origins"):
-            if name not in table:
-                raise ValueError(f"{name} is missing")
+        found = [(name, "no such key") for name in sorted(set(table) - known)]
+        found += [(name, "is missing") for name in ("listen", "origins") if name not in table]
         for name in ("connections", "message_bytes", "outbound_bytes", "ping_ms"):
             if type(table.get(name, 1)) is not int or table.get(name, 1) < 1:
-                raise ValueError(f"{name} must be a whole number from 1 on")
-        origins = table["origins"]
+                found.append((name, "must be a whole number from 1 on"))
+        if not isinstance(table.get("listen", ""), str):
+            found.append(("listen", "must be a text"))
+        origins = table.get("origins", [])
         if not isinstance(origins, list) or not all(isinstance(each, str) for each in origins):
-            raise ValueError("origins must be a list of texts")
+            found.append(("origins", "must be a list of texts"))
         if not str(table.get("path", "/")).startswith("/"):
-            raise ValueError("path must begin with /")
-        return cls(**{**table, "origins": tuple(origins)})
+            found.append(("path", "must begin with /"))
+        return found
+
+    @classmethod
+    def parse(cls, text: str) -> Options:
+        """ValueError, naming every fault, where the text is not to be used."""
+        table = tomllib.loads(text)
+        if found := cls.faults(table):
+            raise ValueError("; ".join(f"{name} {what}" for name, what in found))
+        return cls(**{**table, "origins": tuple(table["origins"])})
 
 
 class Fault(Exception):
