--- a/mintvalve/choice.py
+++ b/mintvalve/choice.py
@@ -56,6 +56,7 @@
 OWN_TIMES = 2.0  # times the own calls a second: capacity of a processor where none is reported
 COLD_SAFETY = 0.8  # share of the cold budget that is used: capacity is judged, not known
 HOLD = 0.2  # share of the aim; a blocked call waits so long for a circuit or a gap, then the caller redials
+AWAY_MS = 250.0  # ms; a caller that is turned away is asked to stay away so long at the least
 BACK_MS = 2000.0  # ms; a tandem that turned a call back is passed over for that destination this long, and
 BACK_TIMES = 16.0  # times; doubled with each further one up to so many times: it may have no group there
 LOOKS = 12  # tandems; a blocked call looks at so many, from a moving start: bounded work in a large fleet
@@ -658,9 +659,22 @@
             self.first_tries.setdefault(call.offer.number, call.began)
         grouped = call.kind.repeat is Repeat.WITHIN_GROUP and call.kind.repeat_group == "all"
         refusable = call.kind.repeat is Repeat.ALWAYS or call.ran is None or grouped
-        self.actions.append(Refuse(call.offer.call) if refusable else Fail(call.offer.call))
+        name = call.offer.call
+        self.actions.append(Refuse(name, self.stay_away(call)) if refusable else Fail(name))
         self.drop(call.offer.call)
 
+    def stay_away(self, call: Call) -> float:
+        """When another try may fare better: gaps and pauses on its way are over, and, where no circuit was
+        free, one has come back by the calls' mean length. Told to callers where the protocol can say it."""
+        far = self.by_cell.get(call.offer.destination, self.own)
+        waits = [max(each.gap.release if each.gap.t else 0.0, each.pause_until) - self.now
+                 for each in (far, self.own)]
+        if far.silent(self.now):
+            waits.append(SILENT_MS)
+        if far.free < call.offer.width:
+            waits.append(call.kind.holding_ms * call.offer.width / max(far.circuits, 1))
+        return min(max(AWAY_MS, *waits), self.set.longest_away_ms)
+
     def drop(self, call_id: int) -> None:
         self.calls.pop(call_id, None)
         self.held.pop(call_id, None)
--- a/mintvalve/interface.py
+++ b/mintvalve/interface.py
@@ -105,6 +105,7 @@
     fall_ms: float = 0.0  # ... for this long falls over
     resend_ms: float = 0.0  # waiting set-ups are sent again by the network after this; 0: never
     step_ms: float = 1.0  # the shortest gap between two events' clocks
+    longest_away_ms: float = 2000.0  # callers respect no longer wait
     probe_price: float = 0.0  # points off the result for one probe a call
 
 
--- a/mintvalve/net/binary_front.py
+++ b/mintvalve/net/binary_front.py
@@ -23,7 +23,13 @@
     connection: Connection
     host: str
     decoder: Decoder = field(default_factory=Decoder)
-    calls: dict[int, Call] = field(default_factory=dict)  # by own number: those taken on it, not over
+    calls: dict[int, Call] = field(default_factory=dict)  # by own number: taken, not answered
+
+    def send(self, data: bytes) -> bool:
+        """A caller that leaves a whole buffer unread is cut off: with a gap it would hear nothing true."""
+        if self.connection.open and not self.connection.send(data):
+            self.connection.end("the caller does not read")
+        return self.connection.open
 
 
 def request_from(message: Message) -> Request:
@@ -62,9 +68,9 @@
             host = connection.sock.getpeername()[0]
         except OSError:
             host = ""
-        self.talks[connection] = Talk(connection, host)
+        talk = self.talks[connection] = Talk(connection, host)
         for message in self.owed.values():
-            connection.send(message)
+            talk.send(message)
         self.owed.clear()
 
     def closed(self, connection: Connection, reason: str) -> None:
@@ -91,7 +97,7 @@
                 self.release(talk, message)
             case Kind.TEST:
                 passed = b"\1" if self.serving else b"\0"
-                talk.connection.send(encode(Message(Kind.TESTED, message.call, {Code.CAUSE: passed})))
+                talk.send(encode(Message(Kind.TESTED, message.call, {Code.CAUSE: passed})))
             case _:
                 pass
 
@@ -102,7 +108,7 @@
         except Unacceptable as fault:
             log.warning("set-up not taken", extra={"error": fault.name, "detail": str(fault)})
             if fault.name != "duplicate_id":  # an answer would be the second one of the call that is open
-                talk.connection.send(release(message.call, Cause.FAULT))
+                talk.send(release(message.call, Cause.FAULT))
 
     def release(self, talk: Talk, message: Message) -> None:
         """A set-up given up, or the end of a call that stands; it may come on any connection."""
@@ -113,7 +119,7 @@
             self.switchboard.caller_released(call)
         else:
             self.switchboard.caller_left(call)
-        talk.connection.send(encode(Message(Kind.RELEASE_HEARD, message.call)))
+        talk.send(encode(Message(Kind.RELEASE_HEARD, message.call)))
 
     # What callers hear.
 
@@ -122,7 +128,7 @@
         message = release(identity, cause)
         host = talk.host if talk is not None else ""
         order = sorted(self.talks.values(), key=lambda each: (each is not talk, each.host != host))
-        if not any(each.connection.send(message) for each in order):
+        if not any(each.send(message) for each in order):
             self.owed[identity] = message
             self.loop.after(OWED_MS, lambda: self.forget_owed(identity))
 
@@ -152,12 +158,12 @@
         self.talk.calls.pop(call.number, None)
 
     def progress(self, call: Call) -> None:
-        self.talk.connection.send(encode(Message(Kind.PROGRESS, call.request.identity)))
+        self.talk.send(encode(Message(Kind.PROGRESS, call.request.identity)))
 
     def answered(self, call: Call, description: bytes | None) -> None:
         self.talk.calls.pop(call.number, None)
         parameters: dict[int, bytes] = {} if description is None else {Code.DESCRIPTION: description}
-        self.talk.connection.send(encode(Message(Kind.ANSWER, call.request.identity, parameters)))
+        self.talk.send(encode(Message(Kind.ANSWER, call.request.identity, parameters)))
 
     def refused(self, call: Call, retry_after_ms: float) -> None:
         """The protocol has no field for when to come back."""
@@ -168,7 +174,7 @@
 
     def final(self, call: Call, cause: int) -> None:
         self.talk.calls.pop(call.number, None)
-        self.talk.connection.send(release(call.request.identity, cause))
+        self.talk.send(release(call.request.identity, cause))
 
     def released(self, call: Call, cut: bool) -> None:
         cause = Cause.TEMPORARY if cut else Cause.NORMAL
--- a/mintvalve/net/connection.py
+++ b/mintvalve/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import logging
 import socket
 from enum import Enum
 from typing import Protocol
@@ -14,6 +15,9 @@
 LINGER_MS = 2000.0  # ms; a finished connection may take so long to write what waits
 
 
+log = logging.getLogger("mintvalve.connection")
+
+
 class ConnectionState(Enum):
     """From the dial to the end."""
 
@@ -169,6 +173,7 @@
         self.sock.listen(512)
         self.sock.setblocking(False)
         self.address: tuple[str, int] = self.sock.getsockname()
+        log.info("listening", extra={"front": type(owner).__name__, "port": self.address[1]})
         loop.watch(self.sock, READ, self.ready)
 
     def ready(self, _: int) -> None:
--- a/mintvalve/net/exchanges.py
+++ b/mintvalve/net/exchanges.py
@@ -143,7 +143,8 @@
                 self.lose([each for each in self.flights.values() if each.line is None], None)
         line = self.lines.pop(connection, None)
         if line is not None:
-            log.info("connection closed", extra={"exchange": self.name, "reason": reason})
+            level = logging.DEBUG if reason == "finished" else logging.INFO
+            log.log(level, "connection closed", extra={"exchange": self.name, "reason": reason})
             if line is self.current:
                 self.current = next((each for each in self.lines.values() if each.connection.open), None)
             self.lose([each for each in self.flights.values() if each.line is line], line)
--- a/mintvalve/settings.py
+++ b/mintvalve/settings.py
@@ -138,6 +138,7 @@
         fall_ms=number(get("Safety.TipAfterMs", "0")),
         resend_ms=number(get("Specifics.T1Ms", "0")),
         step_ms=number(get("StepMs", "1")),
+        longest_away_ms=number(get("Limits.MaxRetryAfterMs", "2000")),
         probe_price=number(get("Prices.Probe", "0")),
     )
 
