Keep the loop alive when a handler closes another ready socket

Found by reading Loop.turn: 'key.fileobj not in get_map()' asks the selector for a socket that an earlier handler of the same turn closed, and it raises ValueError (file descriptor -1) outside of what the loop guards, which ends the program. Sockets are now looked up by number and compared. Also found by reading, each with a test that failed before: calls of an exchange that moves to a new address stood for ever (Exchanges.listed), and a caller's release of a call just over was sent to all exchanges.

--- a/mintvalve/__main__.py
+++ b/mintvalve/__main__.py
@@ -46,9 +46,9 @@
     board.far = exchanges
 
     def tell(held: dict[str, Entry], kind: ListKind = ListKind.FULL) -> None:
-        board.listed([entry.exchange for entry in held.values()], kind)
         exchanges.listed({name: entry.address for name, entry in held.items()
                           if entry.exchange.cell != settings.home})
+        board.listed([entry.exchange for entry in held.values()], kind)
 
     known = config.get("known", {})
     tell(merged(known_events(known)), ListKind.CACHED)
--- a/mintvalve/net/deadlines.py
+++ b/mintvalve/net/deadlines.py
@@ -38,6 +38,7 @@
 
     def sweep(self, now: float) -> None:
         """Run what is due; what is set meanwhile waits for the next turn."""
-        last = (now, next(self.serial))
-        while self.entries and self.entries.peekitem(0)[0] < last:
-            self.entries.popitem(0)[1].action()
+        for key in list(self.entries.irange(maximum=(now, next(self.serial)))):
+            deadline = self.entries.pop(key, None)  # none where an earlier one of this sweep dropped it
+            if deadline is not None:
+                deadline.action()
--- a/mintvalve/net/exchanges.py
+++ b/mintvalve/net/exchanges.py
@@ -304,6 +304,7 @@
         """Where the exchanges are now."""
         for name, link in list(self.links.items()):
             if addresses.get(name) != link.address:
+                self.switchboard.cut(name, math.inf)
                 del self.links[name]
                 link.close()
         for name, address in addresses.items():
@@ -331,6 +332,8 @@
 
     def release_everywhere(self, call: int) -> None:
         """A caller ends a call that this life of the program has not set up: its exchange is not known."""
+        if call in self.recent:
+            return  # it is over already: both sides ended it at once
         for link in self.links.values():
             link.say(release(call, Cause.NORMAL))
 
--- a/mintvalve/net/loop.py
+++ b/mintvalve/net/loop.py
@@ -43,7 +43,10 @@
         return self.after(0.0, action)
 
     def watch(self, sock: socket.socket, events: int, handler: Handler) -> None:
-        """Call `handler` when the socket is ready for `events`; 0 watches it no more."""
+        """Call `handler` when the socket is ready for `events`; 0 watches it no more. A closed one is ready
+        for nothing."""
+        if sock.fileno() < 0:
+            return
         known = sock.fileno() in self.selector.get_map()
         if not events:
             if known:
@@ -58,8 +61,9 @@
         due = self.deadlines.next_at()
         wait = most_ms if due is None else min(max(due - self.now(), 0.0), most_ms)
         for key, events in self.selector.select(wait / 1000.0):
-            if key.fileobj not in self.selector.get_map():
-                continue  # forgotten earlier in this turn
+            kept = self.selector.get_map().get(key.fd)  # by number: a closed socket can't be asked for
+            if kept is None or kept.fileobj is not key.fileobj:
+                continue  # forgotten earlier in this turn, and its number may serve another one already
             self.guarded(lambda key=key, events=events: key.data(events))  # type: ignore[misc]
         self.guarded(lambda: self.deadlines.sweep(self.now()))
 
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -111,3 +111,22 @@
     rig.exchange().by_call[99] = next(iter(rig.exchange().decoders))
     rig.exchange().release(99, Cause.NORMAL)
     rig.until(lambda: any(each.call == 99 for each in caller.messages))
+
+
+def test_an_exchange_at_a_new_address_takes_its_old_calls_with_it(rig: Rig) -> None:
+    # Guards against calls that no link knows any more, and which would stand for ever. Found by reading.
+    caller = standing(rig, 7)
+    rig.far.listed({"x1": rig.exchange(2).address, "x2": rig.exchange(2).address})
+    rig.until(lambda: ("release", f"{7:016x}", Cause.TEMPORARY) in caller.heard)
+    assert not rig.board.calls
+
+
+def test_a_release_of_a_call_that_is_over_goes_to_nobody(rig: Rig) -> None:
+    # Both sides may end a call at once: the caller's word then crosses the exchange's.
+    caller = standing(rig, 7)
+    rig.exchange().release(7, Cause.NORMAL)
+    rig.until(lambda: not rig.board.calls)
+    caller.release(7)
+    caller.release(99)  # of an earlier life: its exchange is not known, so all are told
+    rig.until(lambda: rig.exchange(2).kinds(99))
+    assert Kind.RELEASE not in [kind for each in rig.stand_ins for kind, _ in each.kinds(7)]
