--- a/mintvalve/facade.py
+++ b/mintvalve/facade.py
@@ -27,7 +27,7 @@
     ) -> None:
         self.controller = Controller(settings, seed)
         self.now, self.remind = now, remind
-        self.tick_after_start = self.hand(io.Started())
+        self.hand(io.Started())
 
     def pick(self, call: Call) -> list[Order]:
         """What to do with a call that was just taken; no order means that it is held."""
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,52 @@
+"""The binary codec: every message survives any cutting of its bytes; other bytes are named, never a crash."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from mintvalve.net.codec import MOST, BadBytes, Code, Decoder, Kind, Message, encode, release
+
+MESSAGES = st.builds(
+    Message, st.integers(0, 255), st.integers(0, 2**64 - 1),
+    st.dictionaries(st.integers(0, 255), st.binary(max_size=60), max_size=5),
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(MESSAGES, max_size=5), st.lists(st.integers(1, 40), min_size=1, max_size=20))
+def test_messages_survive_any_cutting(messages: list[Message], cuts: list[int]) -> None:
+    data, decoder, heard = b"".join(map(encode, messages)), Decoder(), list[Message]()
+    place = 0
+    while data:
+        size = cuts[place % len(cuts)]
+        heard += decoder.feed(data[:size])
+        data, place = data[size:], place + 1
+    assert heard == messages
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=200))
+def test_any_bytes_are_messages_or_bad_bytes(data: bytes) -> None:
+    try:
+        for message in Decoder().feed(data):
+            message.text(Code.CLASS), message.whole(Code.WAIT, 0), message.fields(Code.FIGURES)
+    except BadBytes:
+        pass
+
+
+def test_the_bytes_are_those_of_the_protocol() -> None:
+    assert release(0x7F3A9C21E0B4D655, 16).hex() == "000d" "0c" "7f3a9c21e0b4d655" "3d" "0001" "10"
+
+
+@pytest.mark.parametrize("data", [
+    b"\0\x08", b"\0\0", b"\xff\xff", (MOST - 1).to_bytes(2, "big"),  # lengths that no message has
+    b"\0\x0b\x01" + bytes(8) + b"\x21\0",  # half a parameter
+    b"\0\x0c\x01" + bytes(8) + b"\x21\0\x05",  # one longer than its message
+])
+def test_what_is_no_message_is_bad(data: bytes) -> None:
+    with pytest.raises(BadBytes):
+        list(Decoder().feed(data))
+
+
+def test_no_message_is_longer_than_the_protocol_allows() -> None:
+    with pytest.raises(ValueError):
+        encode(Message(Kind.ANSWER, 1, {Code.DESCRIPTION: bytes(MOST)}))
