End with a reason when an address can't be listened on

Tried as a new user would: with the port taken, the program logged a failed handler and ran on in its joining phase, unreachable (Lifecycle.serve, whose OSError the loop's guard took). It now says so and exits with 1; the test starts the program on a taken port. make websocket takes WEBSOCKET=FILE.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # build: the run-time environment; test, lint: the test environment; run: one call controller.
 PYTHON ?= python3
 CONFIG ?= config.json
+WEBSOCKET ?= deploy/websocket.toml
 TOOLS = .venv-test/bin
 
 .PHONY: build test lint run websocket clean
@@ -26,7 +27,7 @@
 	.venv/bin/python -m mintvalve --config $(CONFIG)
 
 websocket: build
-	.venv/bin/python -m mintvalve --config $(CONFIG) --websocket deploy/websocket.toml
+	.venv/bin/python -m mintvalve --config $(CONFIG) --websocket $(WEBSOCKET)
 
 clean:
 	rm -rf .venv .venv-test .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- a/mintvalve/__main__.py
+++ b/mintvalve/__main__.py
@@ -84,7 +84,7 @@
         return 2
     gc.freeze()
     lifecycle.run()
-    return 0
+    return 1 if lifecycle.failed else 0
 
 
 if __name__ == "__main__":
--- a/mintvalve/lifecycle.py
+++ b/mintvalve/lifecycle.py
@@ -35,7 +35,7 @@
 
 NEXT = {
     Phase.STARTING: {Phase.JOINING},
-    Phase.JOINING: {Phase.SERVING, Phase.DRAINING},
+    Phase.JOINING: {Phase.SERVING, Phase.DRAINING, Phase.ENDED},
     Phase.SERVING: {Phase.DRAINING},
     Phase.DRAINING: {Phase.LINGERING},
     Phase.LINGERING: {Phase.CLOSING},
@@ -64,6 +64,7 @@
         self.phase = Phase.STARTING
         self.fronts: list[Front] = []
         self.join_until = 0.0
+        self.failed = False
 
     def enter(self, phase: Phase) -> None:
         if phase not in NEXT[self.phase]:
@@ -76,7 +77,7 @@
         self.catch(signal.SIGTERM, signal.SIGINT)
         self.enter(Phase.JOINING)
         self.join_until = self.loop.now() + JOIN_MS
-        self.join()
+        self.loop.soon(self.join)
         self.loop.run()
 
     def catch(self, *signals: int) -> None:
@@ -103,7 +104,14 @@
             self.loop.after(LOOK_MS, self.join)
 
     def serve(self) -> None:
-        self.fronts = self.open_fronts()
+        try:
+            self.fronts = self.open_fronts()
+        except OSError as fault:  # an address that is taken or not ours: nobody could ever call
+            log.error("can't listen", extra={"reason": str(fault)})
+            self.failed = True
+            self.enter(Phase.ENDED)
+            self.loop.stop()
+            return
         self.enter(Phase.SERVING)
 
     def drain(self) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -263,3 +263,15 @@
     done = subprocess.run([sys.executable, "-m", "mintvalve", "--config", str(path)], cwd=ROOT,
                           capture_output=True, text=True, check=False)
     assert done.returncode == 2 and said in done.stderr and len(done.stderr.splitlines()) == 1
+
+
+def test_an_address_that_is_taken_ends_the_program_with_its_reason(tmp_path: Path) -> None:
+    # Guards against a program that runs and can't be called: it logged the fault and waited for ever.
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "config.json"
+        listen = f"127.0.0.1:{taken.getsockname()[1]}"
+        path.write_text(json.dumps({"nameserver": "127.0.0.1:9", "settings": SETTINGS}))
+        environment = {**os.environ, "PROXY_LISTEN": listen}
+        done = subprocess.run([sys.executable, "-m", "mintvalve", "--config", str(path)], cwd=ROOT,
+                              env=environment, capture_output=True, text=True, check=False, timeout=PATIENCE_S)
+    assert done.returncode == 1 and "can't listen" in done.stderr and "in use" in done.stderr
