Give a WebSocket client a whole span for its handshake

A client that connected just before a ping was due was cut off before it had spoken: WebSocketFront.ping ended whatever was not accepted yet. Found by reading; the new test fails without the change.

--- a/mintvalve/net/websocket_front.py
+++ b/mintvalve/net/websocket_front.py
@@ -175,10 +175,11 @@
         if self.listener.sock.fileno() >= 0:
             self.loop.after(self.options.ping_ms, self.ping)
         for talk in list(self.talks.values()):
-            if not talk.ponged or not talk.accepted:
+            if not talk.ponged:
                 talk.connection.end("no sign of life")
-            else:
-                talk.ponged = False
+                continue
+            talk.ponged = False
+            if talk.accepted:
                 self.write(talk, ws.Ping())
 
     def close(self) -> None:
@@ -263,7 +264,7 @@
             log.warning("origin not allowed", extra={"origin": origin})
             self.turn_away(talk, 403)
         else:
-            talk.accepted = True
+            talk.accepted = talk.ponged = True
             self.write(talk, ws.AcceptConnection())
 
     def turn_away(self, talk: Talk, status: int) -> None:
--- a/tests/test_websocket.py
+++ b/tests/test_websocket.py
@@ -158,3 +158,13 @@
 def test_a_file_that_cant_be_used_is_refused_with_the_key(text: str, said: str) -> None:
     with pytest.raises(ValueError, match=said):
         Options.parse(text)
+
+
+def test_a_client_has_a_whole_span_for_its_handshake_and_no_more(rig: Rig) -> None:
+    # Guards against a client that connects just before a ping is due: it was cut off before it had spoken.
+    rig.later(19_900, step=1000.0)
+    talker = Plain(rig, rig.web.listener.address)
+    rig.later(1000)
+    assert not talker.ended
+    rig.later(20_000, step=1000.0)
+    rig.until(lambda: talker.ended)
