Bound callers' connections by time and number, so that new ones always get in

That is Listener.ready, which waited while 128 connections were held (256 less 128 spare) and closed none of them. CPU (0.3 s in the busiest second) and memory (17 of 64 MB) were ruled out.

Now a full listener closes the connections quiet for longest that have no open set-up, first those that never spoke; whoever says nothing for 2 s or half a message for 1.5 s is closed; a burst is served 32 messages a turn; 72 descriptors are kept for links in place of 128 (four an exchange at the most, nine exchanges).

--- a/mintvalve/__main__.py
+++ b/mintvalve/__main__.py
@@ -25,7 +25,7 @@
 from mintvalve.settings import flatten, on_sockets, settings_of
 
 DIAL_MS = 500.0  # ms; where the settings name no other
-SPARE_DESCRIPTORS = 128  # for exchanges, the name server, files
+SPARE_DESCRIPTORS = 72  # for links (at most four sockets an exchange), the name server, files
 FEWEST = 16  # connections of callers at the least
 
 
--- a/mintvalve/net/binary_front.py
+++ b/mintvalve/net/binary_front.py
@@ -13,6 +13,7 @@
 from mintvalve.net.loop import Loop
 
 log = logging.getLogger("mintvalve.front.binary")
+TURN = 32  # messages of one caller in a turn; then the others have theirs
 OWED_MS = 10_000.0  # ms; a release that finds no connection waits so long for the next one
 
 
@@ -24,6 +25,7 @@
     host: str
     decoder: Decoder = field(default_factory=Decoder)
     calls: dict[int, Call] = field(default_factory=dict)  # by own number: taken, not answered
+    standing: int = 0  # calls set up on it that stand
 
     def send(self, data: bytes) -> bool:
         """A caller that leaves a whole buffer unread is cut off: with a gap it would hear nothing true."""
@@ -80,14 +82,35 @@
         for call in list(talk.calls.values()):
             self.switchboard.caller_left(call)
 
-    def received(self, connection: Connection, data: bytes) -> None:
+    def rank(self, connection: Connection) -> int:
+        """A connection with open set-ups can't be spared; where calls stand, their callers listen on it."""
         talk = self.talks[connection]
+        return -1 if talk.calls else talk.standing
+
+    def turn_out(self, connection: Connection) -> None:
+        connection.end("its place is needed")
+
+    def received(self, connection: Connection, data: bytes) -> None:
+        """Some messages a turn. Guards against one caller's burst holding up all the others."""
+        talk, whole = self.talks[connection], 0
         try:
             for message in talk.decoder.feed(data):
+                whole += 1
                 self.take(talk, message)
+                if whole >= TURN:
+                    connection.pause()
+                    self.loop.soon(lambda: self.go_on(connection))
+                    break
         except BadBytes as fault:
             log.warning("unreadable", extra={"caller": talk.host, "fault": str(fault)})
             connection.end("unreadable")
+        connection.heard(whole, bool(talk.decoder.rest))
+
+    def go_on(self, connection: Connection) -> None:
+        """The rest of what a caller said at once."""
+        if connection.open:
+            connection.resume()
+            self.received(connection, b"")
 
     def take(self, talk: Talk, message: Message) -> None:
         match message.kind:
@@ -116,6 +139,8 @@
         if call is None:
             self.unknown(message.call)
         elif call.state is CallState.STANDING:
+            if isinstance(call.caller, Side):
+                call.caller.talk.standing -= 1
             self.switchboard.caller_released(call)
         else:
             self.switchboard.caller_left(call)
@@ -162,6 +187,7 @@
 
     def answered(self, call: Call, description: bytes | None) -> None:
         self.talk.calls.pop(call.number, None)
+        self.talk.standing += 1
         parameters: dict[int, bytes] = {} if description is None else {Code.DESCRIPTION: description}
         self.talk.send(encode(Message(Kind.ANSWER, call.request.identity, parameters)))
 
@@ -177,5 +203,6 @@
         self.talk.send(release(call.request.identity, cause))
 
     def released(self, call: Call, cut: bool) -> None:
+        self.talk.standing -= 1
         cause = Cause.TEMPORARY if cut else Cause.NORMAL
         self.front.release_to(self.talk, call.request.identity, cause)
--- a/mintvalve/net/connection.py
+++ b/mintvalve/net/connection.py
@@ -10,10 +10,15 @@
 
 from mintvalve.net.loop import READ, WRITE, Loop
 
-CHUNK = 65536  # bytes read at a time
+CHUNK = 16384  # bytes read at a time; more would hold up the others
 BUFFER = 1 << 20  # bytes; the most that may wait to be written
 LINGER_MS = 2000.0  # ms; a finished connection may take so long to write what waits
-
+UNSPOKEN_MS = 2000.0  # ms; a connection that brought no whole message by then is closed,
+HALF_MS = 1500.0  # ms; and so is one whose message is not whole by then
+YOUNG_MS = 250.0  # ms; where all are needed, a connection keeps its place so long after its last message
+LOOK_MS = 250.0  # ms between looks at these times
+FULL_MS = 20.0  # ms; so long no connection is accepted where none could be closed for it
+AT_ONCE = 32  # connections accepted in one turn
 
 log = logging.getLogger("mintvalve.connection")
 
@@ -46,6 +51,10 @@
         self.waiting = bytearray()
         self.queued = self.written = 0  # bytes, over the connection's life
         self.reset = False  # by the other side
+        self.reading = True  # what comes is taken
+        self.since = loop.now()
+        self.spoke_at: float | None = None  # the last whole message
+        self.half_at: float | None = None  # since when a message is there in part
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -87,6 +96,26 @@
             self.flush()
         return True
 
+    def heard(self, whole: int, rest: bool) -> None:
+        """What the owner made of the bytes: so many whole messages, and whether a part of one is left."""
+        now = self.loop.now()
+        self.spoke_at = now if whole else self.spoke_at
+        self.half_at = None if not rest else now if whole or self.half_at is None else self.half_at
+
+    def pause(self) -> None:
+        """Take nothing more for now: the owner has enough to do, and others wait."""
+        self.reading = False
+        self.watch()
+
+    def resume(self) -> None:
+        self.reading = True
+        self.watch()
+
+    def watch(self) -> None:
+        if self.state in (ConnectionState.OPEN, ConnectionState.FINISHING):
+            reads = READ if self.reading and self.state is ConnectionState.OPEN else 0
+            self.loop.watch(self.sock, reads | (WRITE if self.waiting else 0), self.ready)
+
     def finish(self, last: bytes = b"") -> None:
         """Write what waits and these last bytes, whatever their number, then close."""
         if self.state is ConnectionState.OPEN:
@@ -157,16 +186,29 @@
         if not self.waiting and self.state is ConnectionState.FINISHING:
             self.end("finished")
             return
-        reads = READ if self.state is ConnectionState.OPEN else 0
-        self.loop.watch(self.sock, reads | (WRITE if self.waiting else 0), self.ready)
+        self.watch()
+
+
+class Host(Owner, Protocol):
+    """Whoever lets connections in."""
+
+    def rank(self, connection: Connection) -> int:
+        """How much is lost with this connection, 0 for nothing; below 0: it can't be spared."""
+        ...
+
+    def turn_out(self, connection: Connection) -> None: ...
 
 
 class Listener:
-    """Accepts connections on one address."""
+    """Accepts connections on one address, so many at a time. Guards against clients that connect and say
+    nothing, or never end what they say, and against those that keep a connection for good: seen on a churn
+    day, where 128 of them held all places and half of the calls never came in. Silent ones are closed in
+    time; where all places are taken, those quiet for longest make room, first the ones that never spoke."""
 
-    def __init__(self, loop: Loop, host: str, port: int, owner: Owner, room: int, most: int = BUFFER) -> None:
+    def __init__(self, loop: Loop, host: str, port: int, owner: Host, room: int, most: int = BUFFER) -> None:
         self.loop, self.owner, self.room, self.most = loop, owner, room, most
         self.connections: set[Connection] = set()
+        loop.after(LOOK_MS, self.look)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind((host, port))
@@ -177,19 +219,48 @@
         loop.watch(self.sock, READ, self.ready)
 
     def ready(self, _: int) -> None:
-        """Accept what has come, as far as descriptors last; the rest waits in the machine's queue."""
-        while len(self.connections) < self.room:
+        """Accept what has come while places and descriptors last; the rest waits in the queue."""
+        for _ in range(AT_ONCE):
+            if len(self.connections) >= self.room and not self.make_room():
+                break
             try:
                 sock, _peer = self.sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-            except OSError:
-                break  # out of descriptors: as if there were no room
+            except OSError:  # out of descriptors: as if all places were taken
+                self.make_room()
+                break
             connection = Connection.accepted(self.loop, sock, self.owner, self.most)
             self.connections.add(connection)
             self.owner.opened(connection)
+        else:
+            return  # the next turn has more
         self.loop.watch(self.sock, 0, self.ready)
-        self.loop.after(20.0, self.resume)
+        self.loop.after(FULL_MS, self.resume)
+
+    def make_room(self) -> bool:
+        """Close some of the connections that nobody misses; whether there is a place now."""
+        now = self.loop.now()
+        found: list[tuple[bool, int, float, Connection]] = []
+        for each in self.connections:
+            last = each.since if each.spoke_at is None else each.spoke_at
+            if each.open and now - last >= YOUNG_MS and (rank := self.owner.rank(each)) >= 0:
+                found.append((each.spoke_at is not None, rank, last, each))
+        for *_, each in sorted(found, key=lambda entry: entry[:3])[:1 + self.room // 16]:
+            self.owner.turn_out(each)
+            self.forget(each)
+        return len(self.connections) < self.room
+
+    def look(self) -> None:
+        """Now and then: whoever is silent, or speaks without an end, is closed."""
+        if self.sock.fileno() >= 0 or self.connections:
+            self.loop.after(LOOK_MS, self.look)
+        now = self.loop.now()
+        for each in list(self.connections):
+            if each.spoke_at is None and now - each.since >= UNSPOKEN_MS:
+                each.end("said nothing")
+            elif each.half_at is not None and now - each.half_at >= HALF_MS:
+                each.end("half a message")
 
     def resume(self) -> None:
         if self.sock.fileno() >= 0:
--- a/mintvalve/net/websocket_front.py
+++ b/mintvalve/net/websocket_front.py
@@ -34,7 +34,8 @@
 MOST_DESCRIPTION = 12_288  # bytes; it must fit an exchange's message with the rest
 MOST_NUMBER = 64  # characters
 KEPT_MS = 60_000.0  # ms; the end of a call that no client heard of is kept for one that follows it
-GOING_AWAY, POLICY, INTERNAL = 1001, 1008, 1011
+GOING_AWAY, POLICY, TOO_BIG, AGAIN_LATER = 1001, 1008, 1009, 1013
+ENDLESS = 8  # times the longest message; whoever sends more of one is closed
 
 
 @dataclass(frozen=True, slots=True)
@@ -165,6 +166,14 @@
         log.debug("client gone", extra={"reason": reason, "calls": len(talk.calls)})
         self.abandon(talk)
 
+    def rank(self, connection: Connection) -> int:
+        """A client with open set-ups can't be spared; one that follows calls only if no other can."""
+        talk = self.talks[connection]
+        return -1 if talk.calls else sum(side.talk is talk for side in self.sides.values())
+
+    def turn_out(self, connection: Connection) -> None:
+        self.leave(self.talks[connection], AGAIN_LATER, "its place is needed")
+
     def abandon(self, talk: Talk) -> None:
         """Nobody waits for these answers any more; calls that stand go on."""
         for call in list(talk.calls.values()):
@@ -229,9 +238,12 @@
         talk = self.talks[connection]
         try:
             talk.wire.receive_data(data)
+            whole = 0
             for event in talk.wire.events():
                 if connection.open:
                     self.take(talk, event)
+                    whole += talk.accepted and talk.length == 0
+            connection.heard(whole, talk.length > 0)
         except RemoteProtocolError as fault:
             log.info("not WebSocket", extra={"fault": str(fault)})
             hint = fault.event_hint
@@ -280,6 +292,9 @@
         talk.text = talk.text and isinstance(event, ws.TextMessage)
         if talk.text and talk.length <= self.options.message_bytes:
             talk.parts.append(str(event.data))
+        if talk.length > ENDLESS * self.options.message_bytes:
+            self.leave(talk, TOO_BIG, "a message without end")
+            return
         if not event.message_finished:
             return
         text, length, is_text = "".join(talk.parts), talk.length, talk.text
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -98,6 +98,12 @@
         self.decoders.pop(connection, None)
         self.listener.forget(connection)
 
+    def rank(self, connection: Connection) -> int:
+        return -1
+
+    def turn_out(self, connection: Connection) -> None:
+        raise AssertionError("no connection can be spared here")
+
     def say(self, kind: Kind, call: int, parameters: dict[int, bytes] | None = None) -> None:
         self.by_call[call].send(encode(Message(kind, call, parameters or {})))
 
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -7,7 +7,8 @@
 from mintvalve.core.calls import Ended
 from mintvalve.interface import Outcome
 from mintvalve.net.codec import Cause, Code, Kind, Message
-from tests.rig import BinaryCaller, Caller, PlainDesk, Rig, StandIn, WebCaller
+from mintvalve.net.connection import Connection, ConnectionState, Listener
+from tests.rig import BinaryCaller, Caller, PlainDesk, Rig, StandIn, Talker, WebCaller
 
 FRONTS: list[type[Caller]] = [BinaryCaller, WebCaller]
 TEMPORARY, NORMAL = int(Cause.TEMPORARY), int(Cause.NORMAL)
@@ -159,3 +160,81 @@
         rig.settle()
         rig.later(990, step=5.0)
         assert caller.heard == [("refused", f"{5:016x}")]
+
+
+class Silent(Talker):
+    """Connects and says nothing."""
+
+    def received(self, connection: Connection, data: bytes) -> None:
+        raise AssertionError("nothing was asked")
+
+
+@pytest.mark.parametrize("front", FRONTS)
+class TestPlaces:
+    """Connections are bounded in number and time, and callers get in all the same."""
+
+    @staticmethod
+    def listener(rig: Rig, front: type[Caller]) -> Listener:
+        return rig.front.listener if front is BinaryCaller else rig.web.listener
+
+    def test_callers_that_keep_their_connection_for_good_make_room(
+        self, rig: Rig, front: type[Caller]
+    ) -> None:
+        # Seen on a churn day: 128 callers had asked once and stayed, and nobody else came in.
+        listener = self.listener(rig, front)
+        listener.room = 3
+        rig.exchange().answering = by_number
+        for call in range(1, 9):
+            caller = front(rig)
+            caller.set_up(call, called="free")
+            rig.until(lambda: len(caller.heard) == 2)  # noqa: B023
+            rig.later(300)
+        assert len(listener.connections) <= 3 and not caller.ended
+
+    def test_a_caller_that_waits_for_its_answer_is_not_turned_out(
+        self, rig: Rig, front: type[Caller]
+    ) -> None:
+        self.listener(rig, front).room = 2
+        first = front(rig)
+        first.set_up(5, called="nobody answers")
+        rig.until(lambda: rig.exchange().by_call)
+        rig.later(300)
+        for _ in range(3):
+            Silent(rig, self.listener(rig, front).address)
+            rig.later(300)
+        rig.exchange().answer(5)
+        rig.until(lambda: first.heard)
+        assert not first.ended
+
+    def test_silent_connections_go_in_time_and_make_room_before(self, rig: Rig, front: type[Caller]) -> None:
+        listener = self.listener(rig, front)
+        listener.room = 4
+        silent = [Silent(rig, listener.address) for _ in range(8)]  # the last ones wait in the queue
+        rig.later(600)
+        caller = front(rig)
+        rig.exchange().answering = by_number
+        caller.set_up(5, called="free")
+        rig.until(lambda: caller.heard)
+        rig.later(2600)
+        assert all(each.ended for each in silent) and not caller.ended
+
+    def test_what_is_never_whole_is_closed(self, rig: Rig, front: type[Caller]) -> None:
+        # A message in part, and each second another byte of it.
+        caller = front(rig)
+        caller.connection.send(b"\0\x40\1" if front is BinaryCaller else b"\x01\x81\0\0\0\0x")
+        for _ in range(3):
+            rig.later(1000)
+            caller.connection.send(b"\0" if front is BinaryCaller else b"\x00\x81\0\0\0\0x")
+        rig.until(lambda: caller.ended or caller.connection.state is ConnectionState.CLOSED)
+
+
+def test_a_burst_of_one_caller_leaves_turns_to_the_others(rig: Rig) -> None:
+    # Hundreds of set-ups at once: without turns, all of them go before the next caller's.
+    many, one = BinaryCaller(rig), BinaryCaller(rig)
+    for call in range(1, 201):
+        many.set_up(call)
+    one.set_up(999)
+    rig.until(lambda: 999 in rig.exchange().by_call)
+    order = [each.call for each in rig.exchange().heard if each.kind == Kind.SET_UP]
+    rig.until(lambda: len(rig.exchange().by_call) == 201)
+    assert order.index(999) < 150
