Judge set-ups and answers whole, and take a reset connection for no dead process

A trace of what callers send showed set-ups with id 0, width 0 or 400, destinations -3, 99 and the own number, waits like 'soon' or of 23 digits, type 123, and 200 set-ups under one id. Id 0 went on to exchanges (request_from checked no range), which close on it with all that is open there. A reset under a process that lives was taken for its death (Link.closed, died) and every call on that connection was released. A second set-up under an open id got no answer at all (BinaryFront.set_up). Ruled out: callers' places (none untaken), CPU (0.33 s in the busiest second), memory (17 of 80 MB).

Now: what no call can ask for is an error; a second set-up under an open id on the same connection, or eight that can't be taken, end it; types are judged from the head on, figures by size; a refused dial after a reset is a death, a reset alone is none; half an answer ends its connection after 250 ms; an answer without description or a release with an unknown cause is spoilt; a second copy does not end the next attempt.

--- a/mintvalve/core/rules.py
+++ b/mintvalve/core/rules.py
@@ -4,11 +4,13 @@
 
 from dataclasses import dataclass
 
-from mintvalve.core.calls import Call, CallState
+from mintvalve.core.calls import Call, CallState, Request
 from mintvalve.interface import Exchange, Outcome, Settings, State
 
 SLACK_MS = 50.0  # ms; on sockets every time limit is that much longer
 MARGIN_MS = 15.0  # ms; a call is answered so long before its caller gives up: the way back takes time, too
+WIDEST = 64  # circuits; no call takes more
+LONGEST_WAIT_MS = 600_000.0  # ms; no caller waits longer
 MUST_WAIT = frozenset({Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED})
 
 
@@ -19,10 +21,27 @@
     home: int
     max_attempts: int
     release_wait_ms: float
+    cells: int = 0  # exchanges are numbered below this; 0: not known
 
     @classmethod
     def of(cls, settings: Settings) -> Rules:
-        return cls(settings.home, settings.max_attempts, settings.release_wait_ms)
+        cells = 0 if settings.pools else settings.proxies
+        return cls(settings.home, settings.max_attempts, settings.release_wait_ms, cells)
+
+    def out_of_range(self, request: Request) -> str:
+        """What no call can ask for; empty where all is well. Guards the desk and the exchanges against
+        figures that mean nothing: a width below 1 would even add to the circuits believed free."""
+        if request.identity == 0:
+            return "a call needs an id"
+        if not 1 <= request.width <= WIDEST:
+            return f"a call takes 1 to {WIDEST} circuits"
+        if request.destination < 0 or 0 < self.cells <= request.destination:
+            return "no exchange has this number"
+        if request.destination == self.home:
+            return "a call never goes to the own exchange"
+        if request.wait_ms > LONGEST_WAIT_MS:
+            return "no caller waits so long"
+        return ""
 
     def broken_by(self, call: Call, exchange: Exchange | None, now: float) -> str:
         """The rule that a set-up of this call to this exchange would break; empty where none."""
--- a/mintvalve/core/switchboard.py
+++ b/mintvalve/core/switchboard.py
@@ -58,6 +58,8 @@
             raise Unacceptable("unknown_class", f"no class is named {request.kind[:40]}")
         if request.wait_ms <= 0:
             raise Unacceptable("no_time", "the caller's wait is over")
+        if fault := self.rules.out_of_range(request):
+            raise Unacceptable("bad_field", fault)
         now = self.timers.now()
         self.serial += 1
         call = Call(self.serial, request, caller, now, now + max(request.wait_ms - MARGIN_MS, 1.0))
--- a/mintvalve/net/binary_front.py
+++ b/mintvalve/net/binary_front.py
@@ -8,11 +8,14 @@
 
 from mintvalve.core.calls import Call, CallState, Request
 from mintvalve.core.switchboard import Switchboard, Unacceptable
-from mintvalve.net.codec import BadBytes, Cause, Code, Decoder, Kind, Message, encode, release
+from mintvalve.net.codec import (
+    FROM_CALLERS, BadBytes, Cause, Code, Decoder, Kind, Message, encode, release, whole,
+)
 from mintvalve.net.connection import Connection, Listener
 from mintvalve.net.loop import Loop
 
 log = logging.getLogger("mintvalve.front.binary")
+MOST_FAULTS = 8  # set-ups that can't be taken; then their connection is closed
 TURN = 32  # messages of one caller in a turn; then the others have theirs
 OWED_MS = 10_000.0  # ms; a release that finds no connection waits so long for the next one
 
@@ -23,9 +26,10 @@
 
     connection: Connection
     host: str
-    decoder: Decoder = field(default_factory=Decoder)
+    decoder: Decoder = field(default_factory=lambda: Decoder(FROM_CALLERS))
     calls: dict[int, Call] = field(default_factory=dict)  # by own number: taken, not answered
     standing: int = 0  # calls set up on it that stand
+    faults: int = 0  # set-ups that could not be taken
 
     def send(self, data: bytes) -> bool:
         """A caller that leaves a whole buffer unread is cut off: with a gap it would hear nothing true."""
@@ -36,12 +40,11 @@
 
 def request_from(message: Message) -> Request:
     """A set-up as a request; BadBytes where it can't be read."""
+    if not message.call or not message.text(Code.CLASS) or not message.text(Code.CALLED).isprintable():
+        raise BadBytes("a set-up without an id, a class or a number that can be read")
     figures = message.fields(Code.FIGURES)
-    try:
-        dest, width, via = (int(figures.get(name, default)) for name, default in
-                            (("dest", ""), ("width", "1"), ("via", "-1")))
-    except ValueError as fault:
-        raise BadBytes(f"figures that can't be read: {fault}") from fault
+    dest, width, via = (whole(figures.get(name, default), name) for name, default in
+                        (("dest", ""), ("width", "1"), ("via", "-1")))
     return Request(
         identity=message.call, kind=message.text(Code.CLASS), called=message.text(Code.CALLED),
         wait_ms=float(message.whole(Code.WAIT, 0)), destination=dest, width=width, tandem=via,
@@ -102,7 +105,7 @@
                     self.loop.soon(lambda: self.go_on(connection))
                     break
         except BadBytes as fault:
-            log.warning("unreadable", extra={"caller": talk.host, "fault": str(fault)})
+            log.info("unreadable", extra={"caller": talk.host, "fault": str(fault)})
             connection.end("unreadable")
         connection.heard(whole, bool(talk.decoder.rest))
 
@@ -125,13 +128,21 @@
                 pass
 
     def set_up(self, talk: Talk, message: Message) -> None:
+        """Take it or say why not. The id of a call that is open here can't be told apart from it by any
+        answer, so a second set-up under it ends the connection, and so do many that can't be taken: a caller
+        that comes again as soon as it is turned away gets a cheap answer."""
         request = request_from(message)
+        known = self.switchboard.known.get(request.identity)
+        if known is not None and isinstance(known.caller, Side) and known.caller.talk is talk:
+            raise BadBytes("a second set-up under the id of an open call")
         try:
             self.switchboard.offer(request, Side(self, talk))
         except Unacceptable as fault:
-            log.warning("set-up not taken", extra={"error": fault.name, "detail": str(fault)})
-            if fault.name != "duplicate_id":  # an answer would be the second one of the call that is open
-                talk.send(release(message.call, Cause.FAULT))
+            talk.faults += 1
+            log.debug("set-up not taken", extra={"error": fault.name, "detail": str(fault)})
+            talk.send(release(message.call, Cause.FAULT))
+            if talk.faults >= MOST_FAULTS:
+                raise BadBytes(f"{talk.faults} set-ups that can't be taken") from fault
 
     def release(self, talk: Talk, message: Message) -> None:
         """A set-up given up, or the end of a call that stands; it may come on any connection."""
--- a/mintvalve/net/codec.py
+++ b/mintvalve/net/codec.py
@@ -8,6 +8,7 @@
 from enum import IntEnum
 
 MOST = 16 * 1024  # bytes; no message is longer
+MOST_DIGITS = 9
 HEAD = struct.Struct(">HBQ")
 PARAMETER = struct.Struct(">BH")
 AFTER_LENGTH = HEAD.size - 2  # bytes of type and call
@@ -26,6 +27,11 @@
     TESTED = 53
 
 
+FROM_CALLERS = frozenset(
+    {Kind.SET_UP, Kind.PROGRESS, Kind.RELEASE, Kind.RELEASE_HEARD, Kind.TEST, Kind.TESTED})
+FROM_EXCHANGES = frozenset(Kind) - {Kind.SET_UP}
+
+
 class Code(IntEnum):
     """Codes of parameters."""
 
@@ -74,10 +80,7 @@
     def whole(self, code: Code, default: int) -> int:
         """A parameter as a whole number."""
         text = self.text(code)
-        try:
-            return int(text) if text else default
-        except ValueError as fault:
-            raise BadBytes(f"parameter {code} is no number") from fault
+        return whole(text, f"parameter {code}") if text else default
 
     @property
     def cause(self) -> int:
@@ -90,6 +93,14 @@
         return {name: value for name, _, value in pairs}
 
 
+def whole(text: str, name: str) -> int:
+    """A whole number of a size that may occur. Guards against figures that no clock or float takes."""
+    digits = text.removeprefix("-")
+    if not (digits.isascii() and digits.isdigit() and len(digits) <= MOST_DIGITS):
+        raise BadBytes(f"{name} is no number")
+    return int(text)
+
+
 def encode(message: Message) -> bytes:
     """The bytes of a message."""
     body = b"".join(
@@ -124,17 +135,21 @@
 
 
 class Decoder:
-    """Gathers bytes as they come and yields whole messages."""
+    """Gathers bytes as they come and yields whole messages, of the kinds that this side may be sent."""
 
-    def __init__(self) -> None:
+    def __init__(self, kinds: frozenset[Kind] = frozenset(Kind)) -> None:
         self.rest = bytearray()
+        self.kinds = kinds
 
     def feed(self, data: bytes) -> Iterator[Message]:
+        """What can't become a message is told as soon as its head is there."""
         self.rest += data
         while len(self.rest) >= 2:
             length = int.from_bytes(self.rest[:2], "big")
             if not AFTER_LENGTH <= length <= MOST - 2:
                 raise BadBytes(f"a length of {length}")
+            if len(self.rest) > 2 and self.rest[2] not in self.kinds:
+                raise BadBytes(f"a message of type {self.rest[2]}")
             if len(self.rest) < 2 + length:
                 return
             body = bytes(self.rest[2:2 + length])
--- a/mintvalve/net/connection.py
+++ b/mintvalve/net/connection.py
@@ -50,7 +50,7 @@
         self.state = ConnectionState.OPEN
         self.waiting = bytearray()
         self.queued = self.written = 0  # bytes, over the connection's life
-        self.reset = False  # by the other side
+        self.reset = self.refused = False  # by the other side
         self.reading = True  # what comes is taken
         self.since = loop.now()
         self.spoke_at: float | None = None  # the last whole message
@@ -137,7 +137,7 @@
         self.loop.soon(lambda: self.owner.closed(self, reason))
 
     def fail(self, error: int) -> None:
-        self.reset = error == errno.ECONNRESET
+        self.reset, self.refused = error == errno.ECONNRESET, error == errno.ECONNREFUSED
         self.end(errno.errorcode.get(error, str(error)))
 
     def ready(self, events: int) -> None:
--- a/mintvalve/net/exchanges.py
+++ b/mintvalve/net/exchanges.py
@@ -16,7 +16,7 @@
 from mintvalve.core.switchboard import Switchboard
 from mintvalve.interface import Clearing, Outcome, Report
 from mintvalve.net.codec import (
-    BadBytes, Cause, Code, Decoder, Kind, Message, encode, release,
+    FROM_EXCHANGES, BadBytes, Cause, Code, Decoder, Kind, Message, encode, release,
 )
 from mintvalve.net.connection import Connection
 from mintvalve.net.loop import Loop
@@ -27,6 +27,7 @@
 FIRST_PAUSE_MS, LONGEST_PAUSE_MS = 50.0, 1000.0  # ms; back-off between dials
 SILENT_MS = 1000.0  # ms; a connection that was spoken to and said nothing for so long is doubted
 QUIET_MS = 1500.0  # ms; by a dial it is found out whether an exchange is there that said nothing for so long
+HALF_MS = 250.0  # ms; a message that is not whole by then is spoilt, and its connection done with
 LOST_MS = 7000.0  # ms; calls by an exchange out of reach are over by then: callers must hear in 8 s
 MOST_LINES = 3  # connections to one exchange; it tells group states on at most four
 OWED_MS = 10_000.0  # ms; a release that finds no connection is kept so long
@@ -36,6 +37,7 @@
     Cause.FAULT: Outcome.LINE_BUSY,
     Cause.MOOT: Outcome.NOT_SENT,
 }
+CAUSES_KNOWN = {*CAUSES, Cause.NORMAL, Cause.TEMPORARY, Cause.CONGESTION}
 NOTES = {
     "group_full": Clearing.NO_CIRCUIT,
     "tandem_refused": Clearing.TURNED_BACK,
@@ -50,8 +52,9 @@
     """One connection of a link."""
 
     connection: Connection
-    decoder: Decoder = field(default_factory=Decoder)
+    decoder: Decoder = field(default_factory=lambda: Decoder(FROM_EXCHANGES))
     asked_at: float | None = None  # when it was first spoken to since it last said something
+    reads: int = 0  # times that something came
 
     def send(self, data: bytes, now: float) -> bool:
         sent = self.connection.send(data)
@@ -67,6 +70,7 @@
     attempt: Attempt
     line: Line | None = None  # None: waits for a connection, or outlived its own
     start: int = 0  # bytes queued on the line before the set-up
+    reads: int = 0  # what came with this read or before was said before the set-up was written
 
 
 class Link:
@@ -82,6 +86,7 @@
         self.pause = 0.0
         self.dial_at = 0.0
         self.gone = False
+        self.was_reset = False  # a connection was, and whether the process is there is not known yet
         self.heard_at = self.loop.now()
         self.told = False  # the state of the own group has come
         self.dial()
@@ -100,7 +105,8 @@
         self.dialling = Connection.dial(self.loop, *self.address, self, self.side.dial_ms)
 
     def dial_if_needed(self) -> None:
-        if self.current is None or self.doubted() or self.loop.now() - self.heard_at > QUIET_MS:
+        quiet = self.loop.now() - self.heard_at > QUIET_MS
+        if self.current is None or self.was_reset or quiet or self.doubted():
             self.dial()
 
     def doubted(self) -> bool:
@@ -124,7 +130,7 @@
                 line.connection.finish()
 
     def opened(self, connection: Connection) -> None:
-        self.dialling, self.pause = None, 0.0
+        self.dialling, self.pause, self.was_reset = None, 0.0, False
         self.heard_at = self.loop.now()
         line = self.lines[connection] = Line(connection)
         self.current = line
@@ -139,6 +145,8 @@
         if connection is self.dialling:
             self.dialling = None
             log.debug("no connection", extra={"exchange": self.name, "reason": reason})
+            if self.was_reset and connection.refused:
+                self.died()
             if self.current is None:
                 self.lose([each for each in self.flights.values() if each.line is None], None)
         line = self.lines.pop(connection, None)
@@ -148,8 +156,8 @@
             if line is self.current:
                 self.current = next((each for each in self.lines.values() if each.connection.open), None)
             self.lose([each for each in self.flights.values() if each.line is line], line)
-            if connection.reset:
-                self.died()
+            if connection.reset and not self.gone:
+                self.was_reset = True
         self.dial_if_needed()
 
     def lose(self, flights: Iterable[Flight], line: Line | None) -> None:
@@ -163,7 +171,10 @@
             self.side.switchboard.ended(flight.attempt, Outcome.RESET if left else Outcome.UNREACHABLE)
 
     def died(self) -> None:
-        """The process died, and with it what stood; what a newer connection carries is of a newer process."""
+        """A connection was reset and the next one refused: the process died, and with it what stood; what a
+        newer connection carries is of a newer process. A reset alone proves nothing: connections break under
+        a process that lives on. Seen on days with bad clients: some 340 good calls were released so."""
+        self.was_reset = False
         for identity, flight in list(self.flights.items()):
             if flight.line is None and flight.attempt.call.state is CallState.STANDING:
                 del self.flights[identity]
@@ -201,7 +212,7 @@
         })
         if ask.description is not None:
             message.parameters[Code.DESCRIPTION] = ask.description
-        flight.line, flight.start = line, line.connection.queued
+        flight.line, flight.start, flight.reads = line, line.connection.queued, line.reads
         if not line.send(encode(message), self.loop.now()):
             self.loop.soon(lambda: self.unwritten(flight))
 
@@ -239,20 +250,40 @@
     def received(self, connection: Connection, data: bytes) -> None:
         line = self.lines[connection]
         line.asked_at = None
+        line.reads += 1
         self.heard_at = self.loop.now()
+        whole = 0
         try:
             for message in line.decoder.feed(data):
                 self.take(line, message)
+                whole += 1
         except BadBytes as fault:
-            log.warning("unreadable", extra={"exchange": self.name, "fault": str(fault)})
+            log.info("unreadable", extra={"exchange": self.name, "fault": str(fault)})
             connection.end("unreadable")
+        connection.heard(whole, bool(line.decoder.rest))
+        if (since := connection.half_at) is not None and since == self.heard_at:
+            self.loop.after(HALF_MS, lambda: self.half(connection, since))
+
+    def half(self, connection: Connection, since: float) -> None:
+        """Guards against an answer that stops short: what comes next would be read as the rest of it, and all
+        that is open on the connection would wait in vain."""
+        if connection.half_at == since:
+            connection.end("half a message")
 
     def take(self, line: Line, message: Message) -> None:
         board = self.side.switchboard
         flight = self.flights.get(message.call)
+        if flight is not None and flight.line is line and line.reads <= flight.reads:
+            flight = None  # the second copy of what ended an earlier attempt: it came before this one left
+            if message.kind == Kind.RELEASE:
+                return
         match message.kind:
+            case Kind.ANSWER if Code.DESCRIPTION not in message.parameters:
+                raise BadBytes("an answer without a description")
+            case Kind.RELEASE if message.cause not in CAUSES_KNOWN:
+                raise BadBytes(f"a release with cause {message.cause}")
             case Kind.ANSWER if flight is not None:
-                board.stood(flight.attempt, message.parameters.get(Code.DESCRIPTION))
+                board.stood(flight.attempt, message.parameters[Code.DESCRIPTION])
             case Kind.RELEASE:
                 self.released(line, message, flight)
             case Kind.PROGRESS if flight is not None:
@@ -277,8 +308,9 @@
             line.connection.send(encode(Message(Kind.RELEASE_HEARD, message.call)))
             self.side.stranger(message.call, message.cause)
             return
-        report = self.report(message)
-        self.flights.pop(message.call)
+        report, note = self.report(message), message.text(Code.NOTE)
+        pause = float(max(message.whole(Code.PAUSE, 0), 0))
+        self.flights.pop(message.call)  # all of it has been read: from here on nothing is unreadable
         self.side.done(message.call)
         if flight.attempt.call.state is CallState.STANDING:
             line.connection.send(encode(Message(Kind.RELEASE_HEARD, message.call)))
@@ -286,8 +318,7 @@
         else:
             outcome = CAUSES.get(message.cause, Outcome.RESET)
         self.side.switchboard.ended(
-            flight.attempt, outcome, NOTES.get(message.text(Code.NOTE), Clearing.NONE),
-            float(message.whole(Code.PAUSE, 0)), report,
+            flight.attempt, outcome, NOTES.get(note, Clearing.NONE), pause, report,
         )
 
 
