--- a/mintvalve/choice.py
+++ b/mintvalve/choice.py
@@ -112,6 +112,7 @@
         self.title = f"exchange {entry.cell}" if entry.address else "own processor"
         self.state, self.born = State.READY, entry.born_ms
         self.free = math.inf  # until told
+        self.free_at = -math.inf  # when it was
         self.circuits = 0
         self.gap = Gap()
         self.report, self.report_at = Report(), -math.inf
@@ -127,7 +128,8 @@
 
     def hear(self, now: float, report: Report) -> None:
         """Figures of the group (true now) and of the processor (late)."""
-        self.free = self.free if report.free is None else report.free
+        if report.free is not None:
+            self.free, self.free_at = report.free, now
         self.circuits = self.circuits if report.circuits is None else report.circuits
         if (report.utilisation, report.wait_ms, report.capacity, report.hold_back) != (None,) * 4:
             self.report, self.report_at = report, now
@@ -369,6 +371,8 @@
         if call is None or call.out != event.address:
             return
         call.out = None
+        if outcome is Outcome.UNREACHABLE and far is not None and far.free_at < self.now - event.elapsed_ms:
+            far.free += call.offer.width  # it took no circuits, and no news of the group will say so
         self.flying.pop(event.call, None)
         if outcome is Outcome.LINE_BUSY and clearing == Clearing.NUMBER_BUSY and not event.ended:
             self.numbers.setdefault(call.offer.number, Number()).busy += 1
--- a/mintvalve/core/rules.py
+++ b/mintvalve/core/rules.py
@@ -37,8 +37,6 @@
             return f"a call takes 1 to {WIDEST} circuits"
         if request.destination < 0 or 0 < self.cells <= request.destination:
             return "no exchange has this number"
-        if request.destination == self.home:
-            return "a call never goes to the own exchange"
         if request.wait_ms > LONGEST_WAIT_MS:
             return "no caller waits so long"
         return ""
--- a/mintvalve/net/binary_front.py
+++ b/mintvalve/net/binary_front.py
@@ -15,8 +15,10 @@
 from mintvalve.net.loop import Loop
 
 log = logging.getLogger("mintvalve.front.binary")
+MOST_UNREAD = 65_536  # bytes; a caller that leaves more unread is cut off
 MOST_FAULTS = 8  # set-ups that can't be taken; then their connection is closed
 TURN = 32  # messages of one caller in a turn; then the others have theirs
+MEANT_MS = 500.0  # ms; so long it waits for one that was served; callers must hear within 1 s
 OWED_MS = 10_000.0  # ms; a release that finds no connection waits so long for the next one
 
 
@@ -29,7 +31,8 @@
     decoder: Decoder = field(default_factory=lambda: Decoder(FROM_CALLERS))
     calls: dict[int, Call] = field(default_factory=dict)  # by own number: taken, not answered
     standing: int = 0  # calls set up on it that stand
-    faults: int = 0  # set-ups that could not be taken
+    served: bool = False  # a call that it brought stood
+    faults: int = 0  # set-ups in a row that could not be taken
 
     def send(self, data: bytes) -> bool:
         """A caller that leaves a whole buffer unread is cut off: with a gap it would hear nothing true."""
@@ -62,9 +65,9 @@
     ) -> None:
         self.loop, self.switchboard, self.unknown = loop, switchboard, unknown
         self.talks: dict[Connection, Talk] = {}
-        self.owed: dict[int, bytes] = {}  # releases that found no connection
+        self.owed: dict[int, tuple[str, bytes]] = {}  # releases that found no connection, and for which host
         self.serving = True
-        self.listener = Listener(loop, *address, self, room)
+        self.listener = Listener(loop, *address, self, room, MOST_UNREAD)
 
     # Connections.
 
@@ -74,9 +77,7 @@
         except OSError:
             host = ""
         talk = self.talks[connection] = Talk(connection, host)
-        for message in self.owed.values():
-            talk.send(message)
-        self.owed.clear()
+        self.pay(talk)
 
     def closed(self, connection: Connection, reason: str) -> None:
         self.listener.forget(connection)
@@ -129,8 +130,8 @@
 
     def set_up(self, talk: Talk, message: Message) -> None:
         """Take it or say why not. The id of a call that is open here can't be told apart from it by any
-        answer, so a second set-up under it ends the connection, and so do many that can't be taken: a caller
-        that comes again as soon as it is turned away gets a cheap answer."""
+        answer, so a second set-up under it ends the connection, and so do many in a row that can't be
+        taken: a caller that comes again as soon as it is turned away gets a cheap answer."""
         request = request_from(message)
         known = self.switchboard.known.get(request.identity)
         if known is not None and isinstance(known.caller, Side) and known.caller.talk is talk:
@@ -141,8 +142,10 @@
             talk.faults += 1
             log.debug("set-up not taken", extra={"error": fault.name, "detail": str(fault)})
             talk.send(release(message.call, Cause.FAULT))
-            if talk.faults >= MOST_FAULTS:
+            if talk.faults >= MOST_FAULTS and not talk.calls:
                 raise BadBytes(f"{talk.faults} set-ups that can't be taken") from fault
+        else:
+            talk.faults = 0
 
     def release(self, talk: Talk, message: Message) -> None:
         """A set-up given up, or the end of a call that stands; it may come on any connection."""
@@ -160,14 +163,30 @@
     # What callers hear.
 
     def release_to(self, talk: Talk | None, identity: int, cause: int) -> None:
-        """On the connection of its set-up, else on one of the same caller, else on any, else on the next."""
+        """On the connection of its set-up, else on one of the same caller, else on one of a caller that was
+        served, else on the next such, or, if none comes, on any. Guards against telling it to a client that
+        means nothing by its connection: on a rude day most connections are of that kind."""
         message = release(identity, cause)
+        if talk is not None and talk.send(message):
+            return
         host = talk.host if talk is not None else ""
-        order = sorted(self.talks.values(), key=lambda each: (each is not talk, each.host != host))
-        if not any(each.send(message) for each in order):
-            self.owed[identity] = message
+        known = [each for each in self.talks.values() if each.host == host or each.served]
+        if not any(each.send(message) for each in sorted(known, key=lambda each: each.host != host)):
+            self.owed[identity] = host, message
+            self.loop.after(MEANT_MS, lambda: self.pay_any(identity))
             self.loop.after(OWED_MS, lambda: self.forget_owed(identity))
 
+    def pay_any(self, identity: int) -> None:
+        """No such caller has come in time."""
+        if identity in self.owed and any(each.send(self.owed[identity][1]) for each in self.talks.values()):
+            del self.owed[identity]
+
+    def pay(self, talk: Talk) -> None:
+        """What is owed to this caller, or to any."""
+        for identity, (host, message) in list(self.owed.items()):
+            if (talk.served or host == talk.host) and talk.send(message):
+                del self.owed[identity]
+
     def forget_owed(self, identity: int) -> None:
         self.owed.pop(identity, None)
 
@@ -199,8 +218,11 @@
     def answered(self, call: Call, description: bytes | None) -> None:
         self.talk.calls.pop(call.number, None)
         self.talk.standing += 1
+        self.talk.served = True
         parameters: dict[int, bytes] = {} if description is None else {Code.DESCRIPTION: description}
         self.talk.send(encode(Message(Kind.ANSWER, call.request.identity, parameters)))
+        if self.front.owed:
+            self.front.pay(self.talk)
 
     def refused(self, call: Call, retry_after_ms: float) -> None:
         """The protocol has no field for when to come back."""
--- a/mintvalve/net/exchanges.py
+++ b/mintvalve/net/exchanges.py
@@ -102,7 +102,11 @@
             return
         self.pause = min(max(self.pause * 2, FIRST_PAUSE_MS), LONGEST_PAUSE_MS)
         self.dial_at = self.loop.now() + self.pause
-        self.dialling = Connection.dial(self.loop, *self.address, self, self.side.dial_ms)
+        try:
+            self.dialling = Connection.dial(self.loop, *self.address, self, self.side.dial_ms)
+        except OSError as fault:  # out of descriptors: a set-up that waits is unreachable in its time
+            log.warning("can't dial", extra={"exchange": self.name, "reason": str(fault)})
+            self.loop.after(LONGEST_PAUSE_MS, self.dial_if_needed)
 
     def dial_if_needed(self) -> None:
         quiet = self.loop.now() - self.heard_at > QUIET_MS
@@ -147,6 +151,8 @@
             log.debug("no connection", extra={"exchange": self.name, "reason": reason})
             if self.was_reset and connection.refused:
                 self.died()
+            elif connection.refused and self.current is not None:
+                self.heard_at = self.loop.now()  # its machine is there; it drains, and takes no new ones
             if self.current is None:
                 self.lose([each for each in self.flights.values() if each.line is None], None)
         line = self.lines.pop(connection, None)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -226,3 +226,14 @@
         world.controller.fars["x1"].gap.t = gap
         actions = world.ended(Outcome.RESET)  # sent again in 300 ms, past its aim
         assert any(isinstance(action, Refuse) for action in actions) != waits
+
+
+def test_a_set_up_that_never_left_gives_its_circuits_back() -> None:
+    # Where no connection came up, no circuit was taken, and no news of the group comes to say so.
+    world = World(cells=2)
+    world.room(1, 1)
+    world.later(10)
+    assert sends(world.call()) == ["x1"]
+    world.later(60)
+    world.ended(Outcome.UNREACHABLE, ended=True)
+    assert sends(world.call()) == ["x1"]
