--- a/mintvalve/net/exchanges.py
+++ b/mintvalve/net/exchanges.py
@@ -172,13 +172,20 @@
         self.dial_if_needed()
 
     def lose(self, flights: Iterable[Flight], line: Line | None) -> None:
-        """Set-ups that were open on a connection are over; a call that stands is bound to none."""
+        """Set-ups that were open on a connection are over; a call that stands is bound to none. The exchange
+        may have answered one, and hold circuits for it: it is told that nobody has the call."""
         for flight in flights:
             if flight.attempt.call.state is CallState.STANDING:
                 flight.line = None
                 continue
-            self.flights.pop(flight.attempt.call.request.identity, None)
+            identity = flight.attempt.call.request.identity
+            self.flights.pop(identity, None)
             left = line is not None and line.connection.written > flight.start
+            if left and not self.gone:
+                self.side.done(identity)
+                message = release(identity, Cause.NORMAL)
+                if not self.say(message):
+                    self.owe(identity, message)
             self.side.switchboard.ended(flight.attempt, Outcome.RESET if left else Outcome.UNREACHABLE)
 
     def died(self) -> None:
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -196,6 +196,8 @@
     ended = {each.attempt.call.request.identity: each.outcome for each in rig.desk.news
              if isinstance(each, Ended)}
     assert ended == {7: Outcome.RESET, 8: Outcome.RESET}
+    # The exchange takes a call for standing whose answer it sent, and keeps its circuits: it is told.
+    rig.until(lambda: all((Kind.RELEASE, Cause.NORMAL) in rig.exchange().kinds(call) for call in (7, 8)))
 
 
 @pytest.mark.parametrize("spoilt", [
