Refuse calls for the own exchange at once in place of sending them out and back

Of 171 that were sent over a tandem 83 stood, 85 were turned back; each takes two circuits of one group and the work of two calls at its ends, while good calls waited (late 42% in the worst window) for processors that said 'full'.

--- a/mintvalve/choice.py
+++ b/mintvalve/choice.py
@@ -589,7 +589,9 @@
         """Direct, else the advised tandem, else the freest first leg; each processor's gate is passed."""
         offer = call.offer
         direct = self.by_cell.get(offer.destination)
-        if direct is None or not self.gate(call, direct) or not self.gate(call, self.own):
+        if direct is None or direct.cell == self.set.home:
+            return None
+        if not self.gate(call, direct) or not self.gate(call, self.own):
             return None
         number = self.numbers.get(offer.number)
         if number is not None and not number.gap.passes(self.now, 0.0):
@@ -643,7 +645,10 @@
         over = call.attempts >= self.set.max_attempts or ready >= call.offer.deadline_ms - ANSWER_MS
         late = self.late(call) or ready - call.began > call.kind.aim_ms
         waited = ready == self.now and (late or self.now - call.came > HOLD * call.kind.aim_ms)
-        if call.offer.in_transit or over or waited or (late and self.pressed(call)):
+        # A caller of a proxy that is down may come here with a call for the own exchange. It could only go
+        # out over a tandem and back on the same group, on circuits and work of two calls: not worth it.
+        here = call.offer.destination == self.set.home
+        if here or call.offer.in_transit or over or waited or (late and self.pressed(call)):
             self.answer(call)
             return
         self.held[call.offer.call] = call
