--- a/mintvalve/choice.py
+++ b/mintvalve/choice.py
@@ -59,6 +59,7 @@
 AWAY_MS = 250.0  # ms; a caller that is turned away is asked to stay away so long at the least
 BACK_MS = 2000.0  # ms; a tandem that turned a call back is passed over for that destination this long, and
 BACK_TIMES = 16.0  # times; doubled with each further one up to so many times: it may have no group there
+HAIRPIN = 0.5  # share of a group's circuits; with less free no call goes out on it to come back
 LOOKS = 12  # tandems; a blocked call looks at so many, from a moving start: bounded work in a large fleet
 ASK_RATE = 4.0  # a second; probes, and likewise words of peers, to one processor from all proxies together
 TELL_TAG = b"nc"  # first bytes of a message between proxies; others are passed over
@@ -589,9 +590,7 @@
         """Direct, else the advised tandem, else the freest first leg; each processor's gate is passed."""
         offer = call.offer
         direct = self.by_cell.get(offer.destination)
-        if direct is None or direct.cell == self.set.home:
-            return None
-        if not self.gate(call, direct) or not self.gate(call, self.own):
+        if direct is None or not self.gate(call, direct) or not self.gate(call, self.own):
             return None
         number = self.numbers.get(offer.number)
         if number is not None and not number.gap.passes(self.now, 0.0):
@@ -626,6 +625,10 @@
             return False
         if self.now < far.back.get(to, (-math.inf, 0.0))[0] or far.gap.t or self.cold(far):
             return False
+        # A caller of a proxy that is down may come here with a call for the own exchange. It can only go
+        # out over a tandem and back on the same group, on circuits and work of two calls: where much is free.
+        if to == self.set.home and far.free < max(HAIRPIN * far.circuits, 2 * call.offer.width):
+            return False
         if self.now - far.told_map_at < self.turn_ms + STALE_MS and not far.room_map >> to & 1:
             return False  # its own proxy says that it has no circuit to spare there
         return (far.free >= call.offer.width + self.allowance(far, call.kind) and self.gate(call, far)
@@ -645,8 +648,7 @@
         over = call.attempts >= self.set.max_attempts or ready >= call.offer.deadline_ms - ANSWER_MS
         late = self.late(call) or ready - call.began > call.kind.aim_ms
         waited = ready == self.now and (late or self.now - call.came > HOLD * call.kind.aim_ms)
-        # A caller of a proxy that is down may come here with a call for the own exchange. It could only go
-        # out over a tandem and back on the same group, on circuits and work of two calls: not worth it.
+        # A call for the own exchange (see as_tandem) is not waited for.
         here = call.offer.destination == self.set.home
         if here or call.offer.in_transit or over or waited or (late and self.pressed(call)):
             self.answer(call)
