Review case 3: releases that reach a restarted controller while it joins are lost

Cause: the links to the exchanges dial before the fronts open. A release of a call that ended while the controller was down comes on the first connection, is acknowledged and dropped, since nobody is set to be told of it yet. Change: this case takes the place of the former case 3 (a planned restart refuses a call that has run). Nothing is fixed.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -41,6 +41,7 @@
     TEST: "test",
     TEST_RESULT: "test result",
 }
+NORMAL_END = 16  # the cause of a release
 CLASS, WAIT, NUMBER, FIGURES, REPORT, CAUSE, DESCRIPTION = 33, 35, 41, 43, 51, 61, 63
 
 # The settings of the wire page's example, for a deployment of five exchanges with a controller each.
@@ -221,24 +222,23 @@
 
 
 class Exchange:
-    """A sound exchange: it reports its group's state on each new connection and answers each set-up.
+    """A sound exchange: it reports its group's state before anything else on each new connection, and answers
+    each set-up.
 
-    `set_up_ms` is the time that a set-up takes. `on_set_up` may be replaced by a case. While `hangs` is set,
-    nothing is sent. An attempt is out from its arrival until its end is written, it is given up, or its
-    connection closes.
+    `set_up_ms` is the time that a set-up takes. An attempt is out from its arrival until its end is written,
+    it is given up, or its connection closes.
     """
 
     def __init__(self, record: Record, name: str, cell: int, set_up_ms: float = 5.0) -> None:
         self.record, self.name, self.cell, self.set_up_ms = record, name, cell, set_up_ms
         self.circuits = 20
-        self.hangs = False
         self.peers: list[Peer] = []
         self.trying: dict[int, Peer] = {}  # attempts that are out, by call
         self.standing: dict[int, Peer] = {}  # by call, with the connection of the set-up
+        self.to_repeat: list[tuple[int, bytes]] = []  # releases to send on the next connection as well
         self.set_ups: list[tuple[float, int]] = []  # arrival (ms since the start) and call, of all set-ups
         self.port = 0
         self.server: asyncio.Server | None = None
-        self.on_set_up: Callable[[Peer, Message], Awaitable[None]] = self.answer_set_up
         self.tasks: set[asyncio.Task[None]] = set()
         self.reported = ""
 
@@ -251,10 +251,6 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def send(self, peer: Peer, data: bytes) -> None:
-        if not self.hangs:
-            peer.send(data)
-
     async def report_changes(self) -> None:
         """Send the state of the group on the open connections, four at most, as it changes."""
         while True:
@@ -262,7 +258,7 @@
             if self.report != self.reported:
                 self.reported = self.report
                 for peer in self.peers[:4]:
-                    self.send(peer, encode(GROUP_STATE, 0, {REPORT: self.report.encode()}))
+                    peer.send(encode(GROUP_STATE, 0, {REPORT: self.report.encode()}))
 
     @property
     def address(self) -> str:
@@ -280,7 +276,11 @@
     async def on_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         peer = Peer(reader, writer, self.on_message, self.on_closed)
         self.peers.append(peer)
-        self.send(peer, encode(GROUP_STATE, 0, {REPORT: self.report.encode()}))
+        peer.send(encode(GROUP_STATE, 0, {REPORT: self.report.encode()}))
+        for call, data in self.to_repeat:
+            self.record.write(self.name, f"sends the release of {call:016x} on the connection just opened")
+            peer.send(data)
+        self.to_repeat.clear()
 
     def on_closed(self, peer: Peer) -> None:
         if peer in self.peers:
@@ -291,7 +291,7 @@
 
     def on_message(self, peer: Peer, message: Message) -> None:
         if message.kind == TEST:
-            self.send(peer, encode(TEST_RESULT, message.call, {CAUSE: b"\1"}))
+            peer.send(encode(TEST_RESULT, message.call, {CAUSE: b"\1"}))
         elif message.kind == SET_UP:
             at = self.record.write(
                 self.name,
@@ -299,18 +299,15 @@
             )
             self.set_ups.append((at, message.call))
             self.trying[message.call] = peer
-            self.keep(asyncio.create_task(self.run_set_up(peer, message)))
+            self.keep(asyncio.create_task(self.answer_set_up(peer, message)))
         elif message.kind == RELEASE:
             self.record.write(self.name, f"gets {message}")
             self.trying.pop(message.call, None)
             self.standing.pop(message.call, None)
-            self.send(peer, encode(RELEASE_HEARD, message.call))
+            peer.send(encode(RELEASE_HEARD, message.call))
         elif message.kind == RELEASE_HEARD:
             self.record.write(self.name, f"gets {message}")
 
-    async def run_set_up(self, peer: Peer, message: Message) -> None:
-        await self.on_set_up(peer, message)
-
     async def answer_set_up(self, peer: Peer, message: Message) -> None:
         """Answer a set-up after `set_up_ms`, unless it was given up meanwhile."""
         await asyncio.sleep(self.set_up_ms / 1000.0)
@@ -321,7 +318,24 @@
         self.trying.pop(call, None)
         self.standing[call] = peer
         self.record.write(self.name, f"sends the answer to {call:016x}: the call stands")
-        self.send(peer, encode(ANSWER, call, {DESCRIPTION: f"{self.name} for {call:016x}".encode()}))
+        peer.send(encode(ANSWER, call, {DESCRIPTION: f"{self.name} for {call:016x}".encode()}))
+
+    def end_call(self, call: int) -> float:
+        """End a standing call; returns when, in milliseconds since the start.
+
+        Its release goes out on the connection of the set-up, otherwise on any open one, and also on the next
+        one that is opened.
+        """
+        set_up_peer = self.standing.pop(call)
+        data = encode(RELEASE, call, {CAUSE: bytes([NORMAL_END])})
+        at = self.record.write(self.name, f"the call {call:016x} comes to its end")
+        for peer in [set_up_peer, *self.peers]:
+            if peer.is_open:
+                self.record.write(self.name, f"sends the release of {call:016x}")
+                peer.send(data)
+                break
+        self.to_repeat.append((call, data))
+        return at
 
 
 def dns_name(name: str) -> bytes:
