Log and count the releases of calls that are not known here

An exchange's release of a call not known here left no trace in logs or counters, so it could not be told whether it never came, was taken for a copy, was kept for a caller that could not be reached, or was dropped.

Change: each is counted by what became of it (reported, repeated, dropped) and logged at level debug with its exchange, call and result.

--- a/mintvalve/net/exchange_links.py
+++ b/mintvalve/net/exchange_links.py
@@ -14,6 +14,7 @@
 import math
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from enum import Enum
 
 from mintvalve.core.calls import Attempt
 from mintvalve.core.attempts import OutstandingAttempt, AttemptTable, EndedCalls
@@ -73,6 +74,14 @@
 NOTES_PROVING_REACHABILITY = frozenset(CLEARING_CAUSE_BY_NOTE) - {"group_full"}
 
 
+class UnknownRelease(Enum):
+    """What became of an exchange's release of a call not known here; the values are logged and counted."""
+
+    REPORTED = "reported"  # its callers are notified
+    REPEATED = "repeated"  # a copy of one that was reported, or about a call that ended here
+    DROPPED = "dropped"  # nothing notifies callers yet
+
+
 @dataclass(slots=True, eq=False)
 class ExchangeConnection:
     """One connection of a link, with its decoder; times are Unix milliseconds."""
@@ -469,7 +478,7 @@
             exchange_connection.connection.send(
                 encode(Message(MessageType.RELEASE_COMPLETE, message.call_id))
             )
-            self.exchange_links.report_unknown_release(message.call_id, message.cause)
+            self.exchange_links.report_unknown_release(self.name, message.call_id, message.cause)
             return
         report, note = self.load_report(message), message.text(ParameterCode.REFUSAL_REASON)
         back_off_ms = float(max(message.integer(ParameterCode.PAUSE_MS, 0), 0))
@@ -560,11 +569,21 @@
             if not link.send_release_once(call) and len(link.releases) < MAX_QUEUE_FOR_UNKNOWN_CALLS:
                 link.enqueue_release(call, None)
 
-    def report_unknown_release(self, call: int, cause: int) -> None:
+    def report_unknown_release(self, exchange: str, call: int, cause: int) -> None:
         """Report an exchange's release of a call not known here, once for each call.
 
         The call may have been set up before the program's restart, so its caller must be notified.
         """
-        if call not in self.ended_calls and self.on_unknown_release is not None:
+        if call in self.ended_calls:
+            result = UnknownRelease.REPEATED
+        elif self.on_unknown_release is None:
+            result = UnknownRelease.DROPPED
+        else:
+            result = UnknownRelease.REPORTED
             self.ended_calls.add(call)
             self.on_unknown_release(call, cause)
+        self.call_manager.increment_counter(f"unknown release {result.value}")
+        log.debug(
+            "release of a call not known here",
+            extra={"exchange": exchange, "call": f"{call:016x}", "result": result.value},
+        )
--- a/tests/test_exchange_links.py
+++ b/tests/test_exchange_links.py
@@ -425,6 +425,17 @@
     rig.run_until(lambda: any(message.call_id == 99 for message in caller.messages))
 
 
+def test_releases_of_unknown_calls_are_counted_by_what_became_of_them(rig: Rig) -> None:
+    # Without the counts nothing shows whether the callers of an earlier process were notified.
+    rig.run_until(lambda: rig.exchange().decoders)
+    rig.exchange().connection_by_call[99] = next(iter(rig.exchange().decoders))
+    for reported, repeated in ((1, 0), (1, 1)):
+        rig.exchange().release(99, ReleaseCause.NORMAL_CLEARING)
+        rig.run_pending()
+        assert rig.call_manager.counts["unknown release reported"] == reported
+        assert rig.call_manager.counts.get("unknown release repeated", 0) == repeated
+
+
 def test_address_change_of_an_exchange_releases_its_calls(rig: Rig) -> None:
     # Guards against calls that belong to no link any more and would stand for ever.
     caller = establish_call(rig, 7)
