Keep releases that exchanges send while the controller joins

Cause: the front for callers was built at the end of `joining`, while the links dial before it begins. An exchange sends the releases of calls that ended meanwhile on the first connection; `on_unknown_release` was None then (open_fronts in __main__.py set it), report_unknown_release dropped them, and on_release had acknowledged them already.

Change: fronts are built before the first dial and only start to listen when joining is over (Listener.open, start_accepting). The callback is an argument of ExchangeLinks without a default, so there is no state in which nobody takes a release. A release is acknowledged after the front has taken it. The tests' rig is built in the order of the program; before, it set the callback ahead of the first dial, which hid the fault.

Test: test_releases_that_arrive_while_joining_reach_callers starts the program.

--- a/mintvalve/__main__.py
+++ b/mintvalve/__main__.py
@@ -60,9 +60,30 @@
 
     call_manager.decision_module = DecisionFacade(settings, seed, loop.now, schedule_timer)
     dial_timeout_ms = float(flat_settings.get("Limits.DialTimeoutMs", DEFAULT_DIAL_TIMEOUT_MS))
-    exchange_links = ExchangeLinks(loop, call_manager, dial_timeout_ms, settings.home)
+    exchange_links = ExchangeLinks(
+        loop,
+        call_manager,
+        dial_timeout_ms,
+        lambda call, cause: binary_front.release_unknown_call(call, cause),
+    )
     call_manager.exchange_connections = exchange_links
 
+    def max_caller_connections(config: dict[str, Any]) -> int:
+        """Return how many connections the binary front may accept within the limit of descriptors."""
+        sockets = int(config.get("limits", {}).get("sockets", 1024)) - RESERVED_DESCRIPTORS
+        return max(MIN_CALLER_CONNECTIONS, sockets - (websocket.connections if websocket else 0))
+
+    binary_front = BinaryFront(
+        loop,
+        call_manager,
+        parse_host_port(os.environ.get("PROXY_LISTEN") or config["listen"]),
+        max_caller_connections(config),
+        exchange_links.release_everywhere,
+    )
+    fronts: list[Front] = [binary_front]
+    if websocket is not None:
+        fronts.append(WebSocketFront(loop, call_manager, websocket, parse_host_port(websocket.listen)))
+
     def update_exchange_list(
         listed_exchanges: dict[str, ListedExchange], kind: ListUpdateKind = ListUpdateKind.FULL
     ) -> None:
@@ -84,14 +105,6 @@
     name_server_client = NameServerClient(
         loop, parse_host_port(config["nameserver"]), int(known.get("seq", 0)), update_exchange_list
     )
-    listen_address = parse_host_port(os.environ.get("PROXY_LISTEN") or config["listen"])
-
-    def max_caller_connections(config: dict[str, Any]) -> int:
-        """Return how many connections the binary front may accept within the limit of descriptors."""
-        sockets = int(config.get("limits", {}).get("sockets", 1024)) - RESERVED_DESCRIPTORS
-        return max(MIN_CALLER_CONNECTIONS, sockets - (websocket.connections if websocket else 0))
-
-    binary_fronts: list[BinaryFront] = []
 
     def reload_config() -> None:
         """Apply the name server, the list of exchanges and the limit of connections from a changed file.
@@ -111,32 +124,14 @@
         )
         build_settings(new_flat_settings)
         name_server_client.reconfigure(name_server_address, list_events)
-        for front in binary_fronts:
-            front.listener.max_connections = max_connections
+        binary_front.listener.max_connections = max_connections
         changed_paths = sorted({path for path, _ in flat_settings.items() ^ new_flat_settings.items()})
         if changed_paths:
             log.warning(
                 "changed settings take effect only after a restart", extra={"names": ",".join(changed_paths)}
             )
 
-    def open_fronts() -> list[Front]:
-        """Open the listeners for callers; raises OSError where an address can't be listened on."""
-        binary_fronts[:] = [
-            BinaryFront(
-                loop,
-                call_manager,
-                listen_address,
-                max_caller_connections(config),
-                exchange_links.release_everywhere,
-            )
-        ]
-        fronts: list[Front] = [*binary_fronts]
-        if websocket is not None:
-            fronts.append(WebSocketFront(loop, call_manager, websocket, parse_host_port(websocket.listen)))
-        exchange_links.on_unknown_release = binary_fronts[0].release_unknown_call
-        return fronts
-
-    return Lifecycle(loop, call_manager, exchange_links.all_groups_reported, open_fronts, reload_config)
+    return Lifecycle(loop, call_manager, exchange_links.all_groups_reported, fronts, reload_config)
 
 
 def read_config_file(path: Path) -> dict[str, Any]:
--- a/mintvalve/lifecycle.py
+++ b/mintvalve/lifecycle.py
@@ -5,7 +5,7 @@
 import logging
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -50,6 +50,10 @@
 class Front(Protocol):
     """The interface of a front, which accepts callers, towards the lifecycle."""
 
+    def start_accepting(self) -> None:
+        """Open the listener; raises OSError where its address can't be listened on."""
+        ...
+
     def stop_accepting(self) -> None:
         """Close the listener; open sessions stay."""
         ...
@@ -66,9 +70,10 @@
 class Lifecycle:
     """Moves the program from phase to phase, and opens and closes the fronts.
 
-    `has_joined` returns whether all exchanges have reported their trunk groups. `open_fronts` opens the
-    listeners for callers and may raise OSError; `listen_failed` is True after that. `reload_config` reads the
-    configuration again and may raise any exception.
+    `has_joined` returns whether all exchanges have reported their trunk groups. `fronts` accept callers once
+    the program has joined, but exist before: while it joins, exchanges release calls of an earlier process.
+    `listen_failed` is True after a front could not listen. `reload_config` reads the configuration again and
+    may raise any exception.
     """
 
     def __init__(
@@ -76,13 +81,12 @@
         loop: Loop,
         call_manager: CallManager,
         has_joined: Callable[[], bool],
-        open_fronts: Callable[[], list[Front]],
+        fronts: Sequence[Front],
         reload_config: Callable[[], None],
     ) -> None:
         self.loop, self.call_manager = loop, call_manager
-        self.has_joined, self.open_fronts, self.reload_config = has_joined, open_fronts, reload_config
+        self.has_joined, self.fronts, self.reload_config = has_joined, fronts, reload_config
         self.phase = Phase.STARTING
-        self.fronts: list[Front] = []
         self.join_deadline_ms = 0.0
         self.listen_failed = False
 
@@ -135,7 +139,8 @@
         The address is in use or not of this host then, and without a listener no caller could ever connect.
         """
         try:
-            self.fronts = self.open_fronts()
+            for front in self.fronts:
+                front.start_accepting()
         except OSError as error:
             log.error("can't listen", extra={"reason": str(error)})
             self.listen_failed = True
--- a/mintvalve/net/binary_front.py
+++ b/mintvalve/net/binary_front.py
@@ -103,7 +103,9 @@
 
 
 class BinaryFront:
-    """Listens for callers and handles their sessions.
+    """Listens for callers from `start_accepting` on, and handles their sessions.
+
+    Releases can be passed to it before that; they are kept for the callers that connect.
 
     `on_unknown_release` is called with the id of each call that a caller releases and that is not open here.
     """
@@ -257,6 +259,10 @@
         """Whether a release that is not acknowledged yet can still be delivered."""
         return self.releases.has_deliverable()
 
+    def start_accepting(self) -> None:
+        """Opens the listening socket; raises OSError where the address can't be listened on."""
+        self.listener.open()
+
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections stay."""
         self.listener.close()
--- a/mintvalve/net/connection.py
+++ b/mintvalve/net/connection.py
@@ -19,6 +19,7 @@
 TIMEOUT_CHECK_INTERVAL_MS = 250.0
 ACCEPT_PAUSE_MS = 20.0  # wait before accepting again when no connection could be evicted
 MAX_ACCEPTS_PER_ITERATION = 32
+LISTEN_BACKLOG = 512  # connections that the kernel keeps until they are accepted
 
 log = logging.getLogger("mintvalve.connection")
 
@@ -255,7 +256,9 @@
 
 
 class Listener:
-    """Accepts up to `max_connections` connections on one address.
+    """Accepts up to `max_connections` connections on one address, from `open` to `close`.
+
+    `address` has the port in use once the listener is open, where port 0 stands for any.
 
     Guards against clients that send nothing, that never complete a message, or that keep idle connections:
     128 such clients held all connections, and half of the calls were lost. Connections without a complete
@@ -279,15 +282,19 @@
             max_buffered_bytes,
         )
         self.connections: set[Connection] = set()
-        loop.call_later(TIMEOUT_CHECK_INTERVAL_MS, self.check_message_timeouts)
+        self.address = (host, port)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+
+    def open(self) -> None:
+        """Start to listen; raises OSError where the address can't be listened on."""
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind((host, port))
-        self.sock.listen(512)
+        self.sock.bind(self.address)
+        self.sock.listen(LISTEN_BACKLOG)
         self.sock.setblocking(False)
-        self.address: tuple[str, int] = self.sock.getsockname()
-        log.info("listening", extra={"front": type(owner).__name__, "port": self.address[1]})
-        loop.watch(self.sock, READ, self.on_ready)
+        self.address = self.sock.getsockname()
+        log.info("listening", extra={"front": type(self.owner).__name__, "port": self.address[1]})
+        self.loop.watch(self.sock, READ, self.on_ready)
+        self.loop.call_later(TIMEOUT_CHECK_INTERVAL_MS, self.check_message_timeouts)
 
     def on_ready(self, _: int) -> None:
         """Accept pending connections up to the limits; the rest stays in the kernel's queue."""
--- a/mintvalve/net/exchange_links.py
+++ b/mintvalve/net/exchange_links.py
@@ -79,7 +79,6 @@
 
     REPORTED = "reported"  # its callers are notified
     REPEATED = "repeated"  # a copy of one that was reported, or about a call that ended here
-    DROPPED = "dropped"  # nothing notifies callers yet
 
 
 @dataclass(slots=True, eq=False)
@@ -472,13 +471,14 @@
     ) -> None:
         """Handle a release: a refusal of a set-up, its reset, or the end of a standing call.
 
-        The release of a call not known here is acknowledged and reported to the callers.
+        The release of a call not known here is reported to the callers and then acknowledged: the exchange
+        need not send it again after that.
         """
         if outstanding is None:
+            self.exchange_links.report_unknown_release(self.name, message.call_id, message.cause)
             exchange_connection.connection.send(
                 encode(Message(MessageType.RELEASE_COMPLETE, message.call_id))
             )
-            self.exchange_links.report_unknown_release(self.name, message.call_id, message.cause)
             return
         report, note = self.load_report(message), message.text(ParameterCode.REFUSAL_REASON)
         back_off_ms = float(max(message.integer(ParameterCode.PAUSE_MS, 0), 0))
@@ -511,19 +511,21 @@
     """The links to all exchanges, by exchange name; implements the core's port to the exchanges.
 
     `dial_timeout_ms` bounds a dial, and the time that a set-up waits for a connection.
-    `on_unknown_release` is called with the call and cause of a release of a call not known here.
+    `on_unknown_release` is called with the call and cause of a release of a call not known here, as soon as
+    the loop runs: exchanges send the releases that an earlier process missed on the first connection.
     """
 
-    def __init__(self, loop: Loop, call_manager: CallManager, dial_timeout_ms: float, home: int) -> None:
-        self.loop, self.call_manager, self.dial_timeout_ms, self.home = (
-            loop,
-            call_manager,
-            dial_timeout_ms,
-            home,
-        )
+    def __init__(
+        self,
+        loop: Loop,
+        call_manager: CallManager,
+        dial_timeout_ms: float,
+        on_unknown_release: Callable[[int, int], None],
+    ) -> None:
+        self.loop, self.call_manager, self.dial_timeout_ms = loop, call_manager, dial_timeout_ms
+        self.on_unknown_release = on_unknown_release
         self.links: dict[str, ExchangeLink] = {}
         self.ended_calls = EndedCalls()
-        self.on_unknown_release: Callable[[int, int], None] | None = None
 
     def update_addresses(self, addresses: Mapping[str, tuple[str, int]]) -> None:
         """Open links to new exchanges; cut the calls and close the links of removed and moved ones."""
@@ -576,8 +578,6 @@
         """
         if call in self.ended_calls:
             result = UnknownRelease.REPEATED
-        elif self.on_unknown_release is None:
-            result = UnknownRelease.DROPPED
         else:
             result = UnknownRelease.REPORTED
             self.ended_calls.add(call)
--- a/mintvalve/net/websocket_front.py
+++ b/mintvalve/net/websocket_front.py
@@ -181,7 +181,7 @@
 
 
 class WebSocketFront:
-    """Listens for clients and handles their sessions."""
+    """Listens for clients from `start_accepting` on, and handles their sessions."""
 
     def __init__(
         self, loop: Loop, call_manager: CallManager, options: WebSocketOptions, address: tuple[str, int]
@@ -193,7 +193,6 @@
             loop, self, RELEASE_RETENTION_MS, MAX_PENDING_RELEASES, allow_other_hosts=False
         )
         self.listener = Listener(loop, *address, self, options.connections, options.outbound_bytes)
-        loop.call_later(options.ping_ms, self.ping_clients)
 
     # Connection events.
 
@@ -242,6 +241,11 @@
             if session.handshake_accepted:
                 self.send_event(session, ws.Ping())
 
+    def start_accepting(self) -> None:
+        """Opens the listening socket; raises OSError where the address can't be listened on."""
+        self.listener.open()
+        self.loop.call_later(self.options.ping_ms, self.ping_clients)
+
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections stay."""
         self.listener.close()
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -123,6 +123,7 @@
         self.releases_to_repeat: list[bytes] = []  # sent again on the next connection
         self.on_set_up: Callable[[FakeExchange, Message], None] | None = None
         self.listener = Listener(loop, "127.0.0.1", 0, self, 64)
+        self.listener.open()
 
     @property
     def address(self) -> tuple[str, int]:
@@ -378,18 +379,22 @@
             delay_ms, lambda: self.call_manager.on_timer(token)
         )
         self.exchange_links = self.call_manager.exchange_connections = ExchangeLinks(
-            self.loop, self.call_manager, 500.0, RIG_SETTINGS.home
+            self.loop,
+            self.call_manager,
+            500.0,
+            lambda call, cause: self.binary_front.release_unknown_call(call, cause),
         )
-        self.exchanges = [FakeExchange(self.loop) for _ in range(exchanges)]
-        self.set_exchanges(*[self.list_entry(cell) for cell in range(1, exchanges + 1)])
         self.binary_front = BinaryFront(
             self.loop, self.call_manager, ("127.0.0.1", 0), 64, self.exchange_links.release_everywhere
         )
         options = WebSocketOptions("127.0.0.1:0", (ALLOWED_ORIGIN,), outbound_bytes=8192)
         self.websocket_front = WebSocketFront(self.loop, self.call_manager, options, ("127.0.0.1", 0))
-        self.exchange_links.on_unknown_release = self.binary_front.release_unknown_call
+        self.exchanges = [FakeExchange(self.loop) for _ in range(exchanges)]
+        self.set_exchanges(*[self.list_entry(cell) for cell in range(1, exchanges + 1)])
         self.filler_sockets: list[socket.socket] = []
         self.run_until(self.exchange_links.all_groups_reported)
+        self.binary_front.start_accepting()
+        self.websocket_front.start_accepting()
 
     @staticmethod
     def list_entry(
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,7 +8,7 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -46,14 +46,20 @@
         self.server.settimeout(TEST_TIMEOUT_S)
         self.port: int = self.server.getsockname()[1]
 
-    def accept_controller(self, free_circuits: int = 9) -> BlockingConnection:
-        """Accept the controller's connection and report the trunk group's state on it."""
+    def accept_controller(
+        self, free_circuits: int = 9, ended_calls: Sequence[int] = ()
+    ) -> BlockingConnection:
+        """Accept the controller's connection and report the trunk group's state on it.
+
+        The releases of `ended_calls` follow in the same write, so that they are read while the controller
+        joins.
+        """
         sock, _ = self.server.accept()
-        connection = BlockingConnection(sock)
-        connection.send(
-            MessageType.GROUP_STATE, 0, {ParameterCode.LOAD_REPORT: f"x0:{free_circuits};x1:9".encode()}
-        )
-        return connection
+        load_report = f"x0:{free_circuits};x1:9".encode()
+        messages = [encode(Message(MessageType.GROUP_STATE, 0, {ParameterCode.LOAD_REPORT: load_report}))]
+        messages += [encode_release(call, ReleaseCause.NORMAL_CLEARING) for call in ended_calls]
+        sock.sendall(b"".join(messages))
+        return BlockingConnection(sock)
 
 
 class BlockingConnection:
@@ -106,9 +112,12 @@
 
 
 class ControllerProcess:
-    """A running controller with a fake exchange and a fake name server; it is joined and listens."""
+    """A running controller with a fake exchange and a fake name server; it is joined and listens.
+
+    The exchange sends the releases of `ended_calls` on the first connection, as after a restart.
+    """
 
-    def __init__(self, folder: Path, websocket: bool = False) -> None:
+    def __init__(self, folder: Path, websocket: bool = False, ended_calls: Sequence[int] = ()) -> None:
         self.exchange, self.name_server = BlockingExchange(), BlockingNameServer()
         home = {"id": "s-0", "host_port": "127.0.0.1:9", "cell": 0}
         west = {"id": "s-1", "host_port": f"127.0.0.1:{self.exchange.port}", "cell": 1}
@@ -134,7 +143,7 @@
             command += ["--websocket", str(websocket_path)]
         environment = {**os.environ, "PROXY_CONFIG": str(config_path), "PROXY_LISTEN": "127.0.0.1:0"}
         self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True)
-        self.exchange_connection = self.exchange.accept_controller()
+        self.exchange_connection = self.exchange.accept_controller(ended_calls=ended_calls)
         assert self.process.stderr is not None
         self.ports: dict[str, int] = {}  # by front, read from the program's log
         while "BinaryFront" not in self.ports or (websocket and "WebSocketFront" not in self.ports):
@@ -238,6 +247,23 @@
     ]
 
 
+def test_releases_that_arrive_while_joining_reach_callers(tmp_path: Path) -> None:
+    # Calls may end while the controller restarts: their releases come before it accepts callers. They were
+    # acknowledged and dropped, and the callers were never told.
+    ended_calls = [0xA1, 0xA2, 0xA3]
+    program = ControllerProcess(tmp_path, ended_calls=ended_calls)
+    try:
+        for call in ended_calls:
+            assert program.exchange_connection.next_message(MessageType.RELEASE_COMPLETE).call_id == call
+        caller = program.connect_caller()
+        caller.send(MessageType.TEST, 1, {ParameterCode.CAUSE: b"\0"})
+        released = [caller.next_message(MessageType.RELEASE) for _ in ended_calls]
+        assert [message.call_id for message in released] == ended_calls
+        assert {message.cause for message in released} == {ReleaseCause.NORMAL_CLEARING}
+    finally:
+        program.close()
+
+
 def test_accepted_calls_are_answered_after_sigterm_and_the_program_ends(program: ControllerProcess) -> None:
     caller = program.connect_caller()
     set_up(caller, 5)
