Accept callers on SIGTERM while joining, so that releases can reach them

Cause: Lifecycle.enter_draining went from JOINING to DRAINING without opening the fronts, although DRAINING is the phase in which callers may still connect.

Change: on SIGTERM while joining the program enters SERVING, which opens the fronts, and then DRAINING. The transition JOINING to DRAINING is gone.

Test: test_releases_that_arrive_while_joining_reach_callers_after_sigterm starts the program; on the code before it fails: the program ends without ever listening.

--- a/mintvalve/lifecycle.py
+++ b/mintvalve/lifecycle.py
@@ -37,7 +37,7 @@
 
 ALLOWED_TRANSITIONS = {
     Phase.STARTING: {Phase.JOINING},
-    Phase.JOINING: {Phase.SERVING, Phase.RELOADING, Phase.DRAINING, Phase.ENDED},
+    Phase.JOINING: {Phase.SERVING, Phase.RELOADING, Phase.ENDED},
     Phase.SERVING: {Phase.RELOADING, Phase.DRAINING},
     Phase.RELOADING: {Phase.JOINING, Phase.SERVING},
     Phase.DRAINING: {Phase.LINGERING},
@@ -165,8 +165,14 @@
         self.enter_phase(previous_phase)
 
     def enter_draining(self) -> None:
-        """Begin the end of the program, while joining or serving, and schedule the phases that follow."""
-        if self.phase is Phase.JOINING or self.phase is Phase.SERVING:
+        """Begin the end of the program, while joining or serving, and schedule the phases that follow.
+
+        One that has not joined accepts callers first: callers still connect for a while after SIGTERM, and
+        releases of an earlier process's calls may wait for them.
+        """
+        if self.phase is Phase.JOINING:
+            self.enter_serving()
+        if self.phase is Phase.SERVING:
             self.enter_phase(Phase.DRAINING)
             self.loop.call_later(STOP_ACCEPTING_AFTER_MS, self.enter_lingering)
             self.loop.call_later(CLOSE_AFTER_MS, self.enter_closing)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -47,16 +47,16 @@
         self.port: int = self.server.getsockname()[1]
 
     def accept_controller(
-        self, free_circuits: int = 9, ended_calls: Sequence[int] = ()
+        self, reports_group: bool = True, ended_calls: Sequence[int] = ()
     ) -> BlockingConnection:
         """Accept the controller's connection and report the trunk group's state on it.
 
         The releases of `ended_calls` follow in the same write, so that they are read while the controller
-        joins.
+        joins. Without the group's state it joins only after a time-out.
         """
         sock, _ = self.server.accept()
-        load_report = f"x0:{free_circuits};x1:9".encode()
-        messages = [encode(Message(MessageType.GROUP_STATE, 0, {ParameterCode.LOAD_REPORT: load_report}))]
+        load_report: dict[int, bytes] = {ParameterCode.LOAD_REPORT: b"x0:9;x1:9"}
+        messages = [encode(Message(MessageType.GROUP_STATE, 0, load_report))] if reports_group else []
         messages += [encode_release(call, ReleaseCause.NORMAL_CLEARING) for call in ended_calls]
         sock.sendall(b"".join(messages))
         return BlockingConnection(sock)
@@ -114,10 +114,17 @@
 class ControllerProcess:
     """A running controller with a fake exchange and a fake name server; it is joined and listens.
 
-    The exchange sends the releases of `ended_calls` on the first connection, as after a restart.
+    The exchange sends the releases of `ended_calls` on the first connection, as after a restart. A signal
+    `sent_while_joining` comes when the controller has not joined, since the group's state is not reported.
     """
 
-    def __init__(self, folder: Path, websocket: bool = False, ended_calls: Sequence[int] = ()) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        websocket: bool = False,
+        ended_calls: Sequence[int] = (),
+        sent_while_joining: signal.Signals | None = None,
+    ) -> None:
         self.exchange, self.name_server = BlockingExchange(), BlockingNameServer()
         home = {"id": "s-0", "host_port": "127.0.0.1:9", "cell": 0}
         west = {"id": "s-1", "host_port": f"127.0.0.1:{self.exchange.port}", "cell": 1}
@@ -143,7 +150,10 @@
             command += ["--websocket", str(websocket_path)]
         environment = {**os.environ, "PROXY_CONFIG": str(config_path), "PROXY_LISTEN": "127.0.0.1:0"}
         self.process = subprocess.Popen(command, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True)
-        self.exchange_connection = self.exchange.accept_controller(ended_calls=ended_calls)
+        self.exchange_connection = self.exchange.accept_controller(sent_while_joining is None, ended_calls)
+        if sent_while_joining is not None:
+            self.wait_for_log_line("phase=joining")
+            self.process.send_signal(sent_while_joining)
         assert self.process.stderr is not None
         self.ports: dict[str, int] = {}  # by front, read from the program's log
         while "BinaryFront" not in self.ports or (websocket and "WebSocketFront" not in self.ports):
@@ -264,6 +274,20 @@
         program.close()
 
 
+def test_releases_that_arrive_while_joining_reach_callers_after_sigterm(tmp_path: Path) -> None:
+    # A controller that got SIGTERM while it joined never accepted callers: the releases that it had
+    # acknowledged ended with it, and callers who came to it were turned away.
+    program = ControllerProcess(tmp_path, ended_calls=[0xA1], sent_while_joining=signal.SIGTERM)
+    try:
+        caller = program.connect_caller()
+        caller.send(MessageType.TEST, 1, {ParameterCode.CAUSE: b"\0"})
+        assert caller.next_message(MessageType.RELEASE).call_id == 0xA1
+        caller.send(MessageType.RELEASE_COMPLETE, 0xA1)
+        assert program.process.wait(TEST_TIMEOUT_S) == 0
+    finally:
+        program.close()
+
+
 def test_accepted_calls_are_answered_after_sigterm_and_the_program_ends(program: ControllerProcess) -> None:
     caller = program.connect_caller()
     set_up(caller, 5)
