Guard the limit of connections that a reload brings while joining

Lifecycle.reload is allowed while joining; reload_config set the new limit on the fronts in a list that was empty by then, and open_fronts used the configuration of the start. An operator's change of limits.sockets was lost without a word until the next SIGHUP.

Change: the test alone.

--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,10 +6,11 @@
 
 import pytest
 
-from mintvalve.__main__ import build_lifecycle, read_config_file
+from mintvalve.__main__ import RESERVED_DESCRIPTORS, build_lifecycle, read_config_file
 from mintvalve.config import files
 from mintvalve.config.__main__ import main
 from mintvalve.lifecycle import Phase
+from mintvalve.net.binary_front import BinaryFront
 from mintvalve.net.websocket_front import WebSocketOptions
 
 EXAMPLES = Path(__file__).parent.parent / "docs" / "examples"
@@ -78,6 +79,24 @@
     lifecycle.loop.close()
 
 
+def test_a_limit_changed_while_joining_holds_once_callers_are_accepted(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The limit that a reload brought while the program joined was dropped: the front used that of the start.
+    monkeypatch.setenv("PROXY_LISTEN", "127.0.0.1:0")
+    main([*SHARED_SETTINGS, "write", str(EXAMPLES / "inventory.csv"), "--out", str(tmp_path)])
+    config = read_config_file(tmp_path / "inverness-desk" / files.CONFIG_FILE)
+    lifecycle = build_lifecycle(config, None, lambda: {**config, "limits": {"sockets": 300}})
+    lifecycle.enter_phase(Phase.JOINING)
+    lifecycle.reload()
+    lifecycle.enter_serving()
+    front = lifecycle.fronts[0]
+    assert isinstance(front, BinaryFront)
+    assert front.listener.max_connections == 300 - RESERVED_DESCRIPTORS
+    front.stop_accepting()
+    lifecycle.loop.close()
+
+
 def test_a_failed_write_leaves_the_old_file_unchanged(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
