Let clients that handle no calls take no release from its caller

What callers would see: after a restart the release of an earlier call goes to idle clients only, and its caller is never told.

Cause: ReleaseDelivery sends a release four times at most, whoever gets it. After 500 ms any connection will do, so four idle clients use up all sends within 1.5 s; send_on then refuses the owner and trusted connections, too. A client that sends data without acknowledging even keeps its release for 30 s: the data counted as a sign of arrival (is_ack_overdue), and on_connection_trusted sent queued releases only.

Change: the limit counts anew when a better connection than any before gets the release; one that only untrusted connections got goes to the first connection that becomes trusted; data from an untrusted connection is no sign of arrival. The number of sends stays bounded, by four for each of the kinds of connection.

--- a/mintvalve/core/release_delivery.py
+++ b/mintvalve/core/release_delivery.py
@@ -18,8 +18,10 @@
 A release is sent again when its connection closes before that; when no acknowledgement comes within
 `ACK_TIMEOUT_MS`, although the connection's side acknowledges or the connection is silent, and another
 connection is suitable; and, if it was sent to another host for lack of a better connection, as soon as one of
-its owner's host opens. It is sent `MAX_SENDS_PER_RELEASE` times at most. Guards against releases that are
-lost in connections which are just closing, or sent to another caller, but taken to be delivered.
+its owner's host opens, or the first trusted one where it was sent to untrusted ones only. It is sent
+`MAX_SENDS_PER_RELEASE` times at most, counted anew when a better connection than any before gets it. Guards
+against releases that are lost in connections which are just closing, or sent to another caller or to clients
+that handle no calls, but taken to be delivered.
 """
 
 from __future__ import annotations
@@ -106,13 +108,24 @@
     owner_host: str  # empty: not known
     enqueued_at: float
     stage: ReleaseStage = ReleaseStage.QUEUED
-    send_count: int = 0
+    send_count: int = 0  # since a connection as suitable as `best_match` got it first
     sent_at: float = 0.0
     sent_on: ConnectionT | None = None  # the connection on which it was sent last
     best_match: ConnectionMatch = ConnectionMatch.NONE  # of all sends since the last one that was lost
     was_sent: bool = False  # at least once
     connections_tried: tuple[ConnectionT, ...] = ()
 
+    @property
+    def reached_untrusted_only(self) -> bool:
+        """Whether it was sent, and only to connections that are not known to handle calls."""
+        return self.best_match is ConnectionMatch.ANY
+
+    def may_be_sent(self, match: ConnectionMatch) -> bool:
+        """Whether the limit of sends allows another one, on a connection that is as suitable as `match`."""
+        return match is not ConnectionMatch.NONE and (
+            self.send_count < MAX_SENDS_PER_RELEASE or match < self.best_match
+        )
+
     @property
     def reached_owner(self) -> bool:
         """Whether it was sent to its owner; if that is not known, to a trusted connection."""
@@ -208,10 +221,12 @@
         return True
 
     def on_connection_trusted(self, connection: ConnectionT, now: float) -> None:
-        """Record that a connection is trusted now, and send queued releases on it."""
+        """Record that a connection is trusted now, and send on it the releases that are queued or reached
+        untrusted connections only."""
         self.trusted_connections[connection] = None
         self.sends_left = MAX_SENDS_PER_PASS
-        for release in list(self.queued.values()):
+        waiting = [release for release in self.sent.values() if release.reached_untrusted_only]
+        for release in [*self.queued.values(), *waiting]:
             if not self.sends_left:
                 break
             self.send_on(release, connection, now)
@@ -284,7 +299,8 @@
 
     def is_ack_overdue(self, release: PendingRelease[ConnectionT], now: float) -> bool:
         """Whether the release was sent `ACK_TIMEOUT_MS` ago without a sign of its arrival: an acknowledgement
-        or, from a side that never acknowledges, data on the open connection."""
+        or, from a side that never acknowledges, data on the open connection. Data of a client that is not
+        known to handle calls is no such sign."""
         connection = release.sent_on
         if (
             release.stage is not ReleaseStage.SENT
@@ -292,7 +308,12 @@
             or now - release.sent_at < ACK_TIMEOUT_MS
         ):
             return False
-        return connection.acknowledges or not connection.is_open or connection.last_data_at <= release.sent_at
+        return (
+            connection.acknowledges
+            or release.reached_untrusted_only
+            or not connection.is_open
+            or connection.last_data_at <= release.sent_at
+        )
 
     def match_connection(
         self, release: PendingRelease[ConnectionT], connection: ConnectionT, now: float
@@ -347,17 +368,13 @@
         """Send the release on this connection; False if it is unsuitable, a limit is reached or the write
         fails."""
         match = self.match_connection(release, connection, now)
-        if (
-            match is ConnectionMatch.NONE
-            or release.send_count >= MAX_SENDS_PER_RELEASE
-            or not self.sends_left
-        ):
+        if not self.sends_left or not release.may_be_sent(match):
             return False
         if not self.writer.write_release(connection, release.call, release.cause):
             return False
         self.sends_left -= 1
         self.remove_from_stage(release)
-        release.send_count += 1
+        release.send_count = 1 if match < release.best_match else release.send_count + 1
         release.stage, release.sent_at, release.sent_on, release.was_sent = (
             ReleaseStage.SENT,
             now,
--- a/tests/test_exchange_links.py
+++ b/tests/test_exchange_links.py
@@ -6,6 +6,7 @@
 
 from mintvalve.interface import Outcome
 from mintvalve.core.calls import CancelAttempt, AttemptEnded, CallEvent, Command, SendSetUp
+from mintvalve.core.release_delivery import ACK_TIMEOUT_MS, ANY_CONNECTION_AFTER_MS, MAX_SENDS_PER_RELEASE
 from mintvalve.net.connection import Connection
 from mintvalve.net.codec import ReleaseCause, ParameterCode, MessageType, Message, encode, encode_release
 from tests.rig import BinaryClient, ScriptedDecisions, Rig
@@ -425,6 +426,21 @@
     rig.run_until(lambda: any(message.call_id == 99 for message in caller.messages))
 
 
+def test_release_of_an_earlier_process_reaches_a_caller_behind_idle_clients(rig: Rig) -> None:
+    # After a restart no connection is known to handle calls yet. Idle clients that were connected first took
+    # all sends of a release, and the caller that came after them was never told.
+    for _ in range(MAX_SENDS_PER_RELEASE + 1):
+        idle_client = BinaryClient(rig)
+        idle_client.send(MessageType.TEST, 1, {ParameterCode.CAUSE: b"\0"})
+    rig.run_until(lambda: rig.exchange().decoders)
+    rig.exchange().connection_by_call[99] = next(iter(rig.exchange().decoders))
+    rig.exchange().release(99, ReleaseCause.NORMAL_CLEARING)
+    rig.advance(ANY_CONNECTION_AFTER_MS + MAX_SENDS_PER_RELEASE * (ACK_TIMEOUT_MS + 50.0))
+    caller = establish_call(rig, 7)
+    rig.advance(100)
+    assert 99 in [message.call_id for message in caller.messages]
+
+
 def test_releases_of_unknown_calls_are_counted_by_what_became_of_them(rig: Rig) -> None:
     # Without the counts nothing shows whether the callers of an earlier process were notified.
     rig.run_until(lambda: rig.exchange().decoders)
