Build the parts in one module, for the program and for the tests' rig

Need: __main__.py wired all parts in one function of a hundred lines of nested functions, and the tests' rig wired them a second time, in another order. That difference hid the releases lost while joining: the rig set the callback before the first dial, the program after it.

Change: composition.py has CallControl (call manager, links and fronts, connected), ConfigReloader and build_lifecycle; __main__.py keeps the command line. The rig and the soak run use CallControl and pass lists of exchanges as the name server client does. Behaviour is the same but for the order in which the rig passes a list on.

--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -28,6 +28,7 @@
 from mintvalve.facade import DecisionFacade
 from mintvalve.interface import Exchange, ExchangeState
 from mintvalve.net.codec import ReleaseCause, ParameterCode, MessageType, Message, encode
+from mintvalve.net.name_server_client import ListedExchange
 from tests.rig import RIG_SETTINGS, BinaryClient, Rig, FakeExchange
 
 QUARTERS = 4
@@ -66,14 +67,12 @@
 
     def update_exchange_list(self) -> None:
         """Pass the present exchanges to the program as the name server client does."""
-        entries = [
-            Exchange(name, cell, ExchangeState.READY, "z") for cell, name in enumerate(self.exchange_names, 1)
-        ]
-        self.rig.call_manager.on_exchange_list(entries)
-        self.rig.exchange_links.update_addresses(
+        self.rig.call_control.update_exchange_list(
             {
-                name: exchange.address
-                for name, exchange in zip(self.exchange_names, self.rig.exchanges, strict=True)
+                name: ListedExchange(Exchange(name, cell, ExchangeState.READY, "z"), exchange.address)
+                for cell, (name, exchange) in enumerate(
+                    zip(self.exchange_names, self.rig.exchanges, strict=True), 1
+                )
             }
         )
         for exchange in self.rig.exchanges:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -30,9 +30,8 @@
     AttemptAnswered,
     RefuseCall,
 )
-from mintvalve.core.call_manager import CallManager
+from mintvalve.composition import CallControl
 from mintvalve.interface import Exchange, Settings, ExchangeState
-from mintvalve.net.binary_front import BinaryFront
 from mintvalve.net.codec import (
     ReleaseCause,
     ParameterCode,
@@ -43,14 +42,17 @@
     encode_release,
 )
 from mintvalve.net.connection import Connection, Listener
-from mintvalve.net.exchange_links import ExchangeLinks
 from mintvalve.net.loop import Loop
-from mintvalve.net.websocket_front import WebSocketOptions, WebSocketFront
+from mintvalve.net.name_server_client import ListedExchange
+from mintvalve.net.websocket_front import WebSocketOptions
 from tests.controller_harness import SETTINGS
 
 RIG_SETTINGS: Settings = replace(SETTINGS, release_wait_ms=250.0)
 ALLOWED_ORIGIN = "http://desk.example"
 WAIT_TIMEOUT_S = 20.0  # of real time; reached only by a failing test
+DIAL_TIMEOUT_MS = 500.0
+MAX_CONNECTIONS = 64  # of callers
+WEBSOCKET_OPTIONS = WebSocketOptions("127.0.0.1:0", (ALLOWED_ORIGIN,), outbound_bytes=8192)
 
 
 class ManualClock:
@@ -373,28 +375,26 @@
         self.clock = ManualClock()
         self.loop = Loop(self.clock)
         self.decisions = decisions or ScriptedDecisions()
-        self.call_manager = CallManager(RIG_SETTINGS, self.loop)
-        self.call_manager.decision_module = self.decisions
-        self.decisions.set_timer = lambda delay_ms, token: self.loop.call_later(
-            delay_ms, lambda: self.call_manager.on_timer(token)
+        self.call_control = CallControl(
+            self.loop, RIG_SETTINGS, DIAL_TIMEOUT_MS, ("127.0.0.1", 0), MAX_CONNECTIONS, WEBSOCKET_OPTIONS
         )
-        self.exchange_links = self.call_manager.exchange_connections = ExchangeLinks(
-            self.loop,
-            self.call_manager,
-            500.0,
-            lambda call, cause: self.binary_front.release_unknown_call(call, cause),
+        self.call_manager, self.exchange_links = (
+            self.call_control.call_manager,
+            self.call_control.exchange_links,
         )
-        self.binary_front = BinaryFront(
-            self.loop, self.call_manager, ("127.0.0.1", 0), 64, self.exchange_links.release_everywhere
+        assert self.call_control.websocket_front is not None
+        self.binary_front, self.websocket_front = (
+            self.call_control.binary_front,
+            self.call_control.websocket_front,
         )
-        options = WebSocketOptions("127.0.0.1:0", (ALLOWED_ORIGIN,), outbound_bytes=8192)
-        self.websocket_front = WebSocketFront(self.loop, self.call_manager, options, ("127.0.0.1", 0))
+        self.call_manager.decision_module = self.decisions
+        self.decisions.set_timer = self.call_control.schedule_timer
         self.exchanges = [FakeExchange(self.loop) for _ in range(exchanges)]
         self.set_exchanges(*[self.list_entry(cell) for cell in range(1, exchanges + 1)])
         self.filler_sockets: list[socket.socket] = []
         self.run_until(self.exchange_links.all_groups_reported)
-        self.binary_front.start_accepting()
-        self.websocket_front.start_accepting()
+        for front in self.call_control.fronts:
+            front.start_accepting()
 
     @staticmethod
     def list_entry(
@@ -405,9 +405,11 @@
 
     def set_exchanges(self, *entries: Exchange) -> None:
         """Replace the exchange list."""
-        self.call_manager.on_exchange_list(entries)
-        self.exchange_links.update_addresses(
-            {entry.address: self.exchanges[entry.cell - 1].address for entry in entries}
+        self.call_control.update_exchange_list(
+            {
+                entry.address: ListedExchange(entry, self.exchanges[entry.cell - 1].address)
+                for entry in entries
+            }
         )
 
     def exchange(self, cell: int = 1) -> FakeExchange:
@@ -448,8 +450,8 @@
         """Close all sockets and the loop."""
         for sock in self.filler_sockets:
             sock.close()
-        self.binary_front.stop_accepting()
-        self.websocket_front.stop_accepting()
+        for front in self.call_control.fronts:
+            front.stop_accepting()
         for exchange in self.exchanges:
             exchange.listener.close()
         for key in list(self.loop.selector.get_map().values()):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from mintvalve.__main__ import RESERVED_DESCRIPTORS, build_lifecycle, read_config_file
+from mintvalve.__main__ import read_config_file
+from mintvalve.composition import RESERVED_DESCRIPTORS, build_lifecycle
 from mintvalve.config import files
 from mintvalve.config.__main__ import main
 from mintvalve.lifecycle import Phase
