Restart the controller in the release model, while calls end

Need: no test of the suite restarted a controller beside its exchanges and callers, so that the releases lost while joining went unnoticed.

Change: the rig can kill its controller (all its sockets closed, no further action of it runs) and start another that knows no calls. The release model has a rule that does so while up to three calls end, after the messages under way have been delivered, since nothing of them is kept on disk. In the end every caller must have been told, as before.

--- a/tests/rig.py
+++ b/tests/rig.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
+from weakref import WeakSet
 
 from wsproto import ConnectionType, WSConnection
 from wsproto import events as ws
@@ -42,7 +43,8 @@
     encode_release,
 )
 from mintvalve.net.connection import Connection, Listener
-from mintvalve.net.loop import Loop
+from mintvalve.net.deadlines import Deadline
+from mintvalve.net.loop import Loop, ReadyHandler
 from mintvalve.net.name_server_client import ListedExchange
 from mintvalve.net.websocket_front import WebSocketOptions
 from tests.controller_harness import SETTINGS
@@ -364,6 +366,31 @@
         self.send(type="release", id=f"{call:016x}")
 
 
+class ProcessLoop(Loop):
+    """The rig's loop as the controller sees it: its sockets and deadlines are shared until it is killed."""
+
+    def __init__(self, loop: Loop) -> None:
+        self.shared_loop, self.selector, self.deadlines = loop, loop.selector, loop.deadlines
+        self.clock, self.last_now_ms, self.running = loop.clock, loop.last_now_ms, False
+        self.sockets: WeakSet[socket.socket] = WeakSet()
+        self.is_killed = False
+
+    def call_later(self, delay_ms: float, action: Callable[[], None]) -> Deadline:
+        return self.shared_loop.call_later(delay_ms, lambda: None if self.is_killed else action())
+
+    def watch(self, sock: socket.socket, events: int, handler: ReadyHandler) -> None:
+        if not self.is_killed:
+            self.sockets.add(sock)
+            self.shared_loop.watch(sock, events, handler)
+
+    def kill(self) -> None:
+        """Close all sockets and run no further action, as if the process had got SIGKILL."""
+        self.is_killed = True
+        for sock in list(self.sockets):
+            self.shared_loop.watch(sock, 0, lambda events: None)
+            sock.close()
+
+
 class Rig:
     """The program's parts, connected as in the program, with scripted decisions and fake exchanges.
 
@@ -375,8 +402,20 @@
         self.clock = ManualClock()
         self.loop = Loop(self.clock)
         self.decisions = decisions or ScriptedDecisions()
+        self.exchanges = [FakeExchange(self.loop) for _ in range(exchanges)]
+        self.filler_sockets: list[socket.socket] = []
+        self.start_controller()
+
+    def start_controller(self) -> None:
+        """Start a controller that knows no calls, as after a restart, and wait until it accepts callers."""
+        self.process_loop = ProcessLoop(self.loop)
         self.call_control = CallControl(
-            self.loop, RIG_SETTINGS, DIAL_TIMEOUT_MS, ("127.0.0.1", 0), MAX_CONNECTIONS, WEBSOCKET_OPTIONS
+            self.process_loop,
+            RIG_SETTINGS,
+            DIAL_TIMEOUT_MS,
+            ("127.0.0.1", 0),
+            MAX_CONNECTIONS,
+            WEBSOCKET_OPTIONS,
         )
         self.call_manager, self.exchange_links = (
             self.call_control.call_manager,
@@ -389,13 +428,16 @@
         )
         self.call_manager.decision_module = self.decisions
         self.decisions.set_timer = self.call_control.schedule_timer
-        self.exchanges = [FakeExchange(self.loop) for _ in range(exchanges)]
-        self.set_exchanges(*[self.list_entry(cell) for cell in range(1, exchanges + 1)])
-        self.filler_sockets: list[socket.socket] = []
+        self.set_exchanges(*[self.list_entry(cell) for cell in range(1, len(self.exchanges) + 1)])
         self.run_until(self.exchange_links.all_groups_reported)
         for front in self.call_control.fronts:
             front.start_accepting()
 
+    def kill_controller(self) -> None:
+        """End the controller without a word; its peers see their connections close."""
+        self.process_loop.kill()
+        self.run_pending()
+
     @staticmethod
     def list_entry(
         cell: int, state: ExchangeState = ExchangeState.READY, up_since_ms: float = 0.0
--- a/tests/test_release_model.py
+++ b/tests/test_release_model.py
@@ -22,6 +22,7 @@
         self.standing_calls: list[int] = []
         self.ended_by_exchange: list[int] = []
         self.ended_by_caller: list[int] = []
+        self.calls_before_restart: set[int] = set()  # set up at an earlier controller
         self.last_call = 0
         self.connect_caller()
 
@@ -71,11 +72,13 @@
         for _ in range(closed_count):
             self.connect_caller()
 
-    @precondition(lambda self: self.standing_calls and self.reading_callers)
+    @precondition(lambda self: self.standing_calls_known_here() and self.reading_callers)
     @rule(number=st.integers(0, 9), settle=st.booleans())
     def end_by_caller(self, number: int, settle: bool) -> None:
         self.reconnect_closed_callers()
-        call = self.standing_calls.pop(number % len(self.standing_calls))
+        known_calls = self.standing_calls_known_here()
+        call = known_calls[number % len(known_calls)]
+        self.standing_calls.remove(call)
         caller = self.reading_callers[number % len(self.reading_callers)]
         caller.release(call)
         self.rig.run_until(lambda: call not in self.rig.call_manager.by_identity)  # its release has arrived
@@ -105,6 +108,26 @@
                 self.rig.run_pending()
             connection.close_now("the exchange closed it")
 
+    @precondition(lambda self: self.reading_callers and not self.stalled_callers and not self.use_websocket)
+    @rule(ended_while_down=st.integers(0, 3), down_ms=st.sampled_from([100.0, 3000.0]))
+    def restart_controller(self, ended_while_down: int, down_ms: float) -> None:
+        """The controller is killed, calls end, and a controller that knows no calls is started.
+
+        Messages under way are delivered first: a killed controller can't send them again.
+        """
+        self.reconnect_closed_callers()
+        self.rig.advance(1200.0, step_ms=100.0)
+        self.rig.kill_controller()
+        for call in self.standing_calls[:ended_while_down]:
+            self.rig.exchange().end_call(call, ReleaseCause.NORMAL_CLEARING)
+            self.ended_by_exchange.append(call)
+        del self.standing_calls[:ended_while_down]
+        self.rig.advance(down_ms, step_ms=down_ms)
+        self.rig.start_controller()
+        self.calls_before_restart |= set(self.standing_calls)
+        self.reading_callers.clear()
+        self.connect_caller()
+
     @rule(ms=st.sampled_from([50.0, 400.0, 1100.0]))
     def advance(self, ms: float) -> None:
         self.rig.advance(ms)
@@ -138,7 +161,7 @@
             assert (MessageType.RELEASE, ReleaseCause.NORMAL_CLEARING) in rig.exchange().types_and_causes(
                 call
             ), f"the exchange got no release of call {call}"
-        assert set(rig.call_manager.by_identity) == set(self.standing_calls)
+        assert set(rig.call_manager.by_identity) == set(self.standing_calls_known_here())
         for call in self.standing_calls:
             rig.exchange().end_call(call, ReleaseCause.NORMAL_CLEARING)
         rig.advance(65_000.0, step_ms=5000.0)
@@ -157,6 +180,10 @@
         assert not rig.websocket_front.callers and not len(rig.websocket_front.releases)
         rig.close()
 
+    def standing_calls_known_here(self) -> list[int]:
+        """The standing calls that were set up since the last restart of the controller."""
+        return [call for call in self.standing_calls if call not in self.calls_before_restart]
+
     @staticmethod
     def is_answered(caller: CallingClient, identity: str) -> bool:
         """Whether the caller has received the final answer to its set-up."""
