--- a/tests/test_release_model.py
+++ b/tests/test_release_model.py
@@ -161,6 +161,7 @@
             assert (MessageType.RELEASE, ReleaseCause.NORMAL_CLEARING) in rig.exchange().types_and_causes(
                 call
             ), f"the exchange got no release of call {call}"
+        # Without a restart these are all standing calls; a restarted controller knows no earlier ones.
         assert set(rig.call_manager.by_identity) == set(self.standing_calls_known_here())
         for call in self.standing_calls:
             rig.exchange().end_call(call, ReleaseCause.NORMAL_CLEARING)
