--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -227,6 +227,7 @@
         self.final_at = self.released_at = 0.0
         self.finals = 0
         self.ended = asyncio.Event()
+        self.wire: Wire | None = None  # the connection of its set-up
 
 
 class Caller:
@@ -279,6 +280,7 @@
     ) -> Call:
         call = self.new_call(number, call_class)
         assert self.wire is not None
+        call.wire = self.wire
         self.record.write(f"{self.name} sends set-up {call.identity:016x}, number {call.number}")
         if self.wire.is_open:
             self.wire.transport.write(self.set_up_message(call, destination, wait_ms))
@@ -308,7 +310,7 @@
     def on_closed(self, wire: Wire) -> None:
         self.record.write(f"{self.name}: connection closed by the controller")
         for call in self.calls.values():
-            if call.final is None:
+            if call.final is None and call.wire is wire:
                 self.finish(call, "lost")
 
     def finish(self, call: Call, final: str) -> None:
