--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -460,14 +460,17 @@
 
 
 async def start_world(
-    record: Record, exchanges: list[Exchange], settings: dict[str, Any]
-) -> tuple[Controller, NameServer]:
+    record: Record,
+    exchanges: list[Exchange],
+    settings: dict[str, Any],
+    name_server_class: Callable[[Record, list[Exchange]], Any] = NameServer,
+) -> tuple[Controller, Any]:
     """Start the exchanges and the name server, and prepare a controller for them."""
     for exchange in exchanges:
         await exchange.start()
     home = Exchange(record, "s-home", 0)
     home.port = 9
-    name_server = NameServer(record, [home, *exchanges])
+    name_server = name_server_class(record, [home, *exchanges])
     await name_server.start()
     return Controller(record, exchanges, name_server, settings), name_server
 
