--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import struct
@@ -491,6 +492,7 @@
             controller.close()
             log = (controller.folder / "log").read_text(errors="replace")
             record.file.write("\nlog of the controller:\n" + log)
+            shutil.rmtree(controller.folder, ignore_errors=True)
     result = {HELD: "the rule held", BROKEN: "the rule was broken", COULD_NOT_RUN: "could not run"}[code]
     record.write(result)
     print(result)
